--- /dev/null
+++ b/include/pistachiowood/clock.h
@@ -0,0 +1,39 @@
+#ifndef PISTACHIOWOOD_CLOCK_H
+#define PISTACHIOWOOD_CLOCK_H
+
+#include <chrono>
+
+namespace pistachiowood {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+using Milliseconds = std::chrono::milliseconds;
+
+/// Source of monotonic time. Decision logic never reads the system clock directly.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual TimePoint now() const = 0;
+};
+
+/// Clock of the running process.
+class SteadyClock final : public Clock
+{
+public:
+    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+};
+
+/// Clock that only moves when told to; for tests.
+class ManualClock final : public Clock
+{
+public:
+    TimePoint now() const override { return now_; }
+    void advance(Milliseconds step) { now_ += step; }
+
+private:
+    TimePoint now_{std::chrono::hours(1)};
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/include/pistachiowood/strong_value.h
@@ -0,0 +1,43 @@
+#ifndef PISTACHIOWOOD_STRONG_VALUE_H
+#define PISTACHIOWOOD_STRONG_VALUE_H
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace pistachiowood {
+
+/// Wraps a plain value in a type of its own, so that ids and units of different kinds do not mix.
+template <typename Tag, typename T>
+class StrongValue
+{
+public:
+    using ValueType = T;
+
+    constexpr StrongValue() = default;
+    constexpr explicit StrongValue(T value)
+        : value_(std::move(value))
+    {
+    }
+
+    constexpr const T &value() const { return value_; }
+
+    friend auto operator<=>(const StrongValue &, const StrongValue &) = default;
+
+private:
+    T value_{};
+};
+
+} // namespace pistachiowood
+
+template <typename Tag, typename T>
+struct std::hash<pistachiowood::StrongValue<Tag, T>>
+{
+    std::size_t operator()(const pistachiowood::StrongValue<Tag, T> &wrapped) const noexcept
+    {
+        return std::hash<T>{}(wrapped.value());
+    }
+};
+
+#endif
--- /dev/null
+++ b/src/base/random.h
@@ -0,0 +1,36 @@
+#ifndef PISTACHIOWOOD_BASE_RANDOM_H
+#define PISTACHIOWOOD_BASE_RANDOM_H
+
+#include <cstdint>
+#include <random>
+
+namespace pistachiowood {
+
+/// Source of randomness for decision logic; tests pass a seeded one.
+class RandomSource
+{
+public:
+    virtual ~RandomSource() = default;
+    virtual std::uint64_t next() = 0;
+
+    /// Returns a number in [0, bound); bound must not be 0.
+    std::uint64_t below(std::uint64_t bound) { return next() % bound; }
+};
+
+/// Mersenne twister with an explicit seed.
+class SeededRandom final : public RandomSource
+{
+public:
+    explicit SeededRandom(std::uint64_t seed)
+        : engine_(seed)
+    {
+    }
+    std::uint64_t next() override { return engine_(); }
+
+private:
+    std::mt19937_64 engine_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,114 @@
+#ifndef PISTACHIOWOOD_NET_HTTP_H
+#define PISTACHIOWOOD_NET_HTTP_H
+
+#include "net/event_loop.h"
+
+#include <pistachiowood/error.h>
+#include <pistachiowood/ids.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace pistachiowood {
+
+struct HttpRequest
+{
+    std::string method = "GET";
+    std::string target = "/"; ///< path with query, as sent
+    std::string body;
+    std::string bearer; ///< credential of "Authorization: Bearer", empty if absent
+
+    std::uint64_t connection = 0; ///< set by the server: id of the connection, unique per server
+};
+
+struct HttpResponse
+{
+    unsigned status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+};
+
+/// Limits of a server; input beyond them is refused with a clear error and the connection is
+/// closed.
+struct HttpLimits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxConnections = 8192;
+    Milliseconds headerTimeout{10000}; ///< from the first byte of a request to its end
+    Milliseconds idleTimeout{600000}; ///< between requests
+};
+
+/// HTTP/1.1 server with keep-alive. One request at a time per connection is handled; further
+/// pipelined requests wait. The responder may be called later, once, from the loop's thread; it has
+/// no effect after the peer has closed.
+class HttpServer
+{
+public:
+    using Responder = std::function<void(HttpResponse)>;
+    using Handler = std::function<void(const HttpRequest &, Responder)>;
+    using CloseHandler = std::function<void(std::uint64_t connection)>;
+
+    HttpServer(EventLoop &loop, HttpLimits limits, Handler handler);
+    ~HttpServer();
+
+    /// Binds and listens; port 0 picks a free one.
+    Result<void> listen(const SocketAddress &address);
+    std::uint16_t port() const;
+    /// Accepts no further connections and closes idle ones; running requests finish.
+    void drain();
+    std::size_t openConnections() const;
+    std::size_t runningRequests() const;
+    void setCloseHandler(CloseHandler handler);
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> private_;
+};
+
+/// Why a request got no response.
+struct HttpFailure
+{
+    enum class Kind { ConnectFailed, Refused, Timeout, ConnectionLost, BadResponse, Closed };
+    Kind kind = Kind::ConnectFailed;
+    bool requestSent = false; ///< true when at least one byte may have reached the peer
+    std::string message;
+};
+
+using HttpOutcome = std::variant<HttpResponse, HttpFailure>;
+
+/// One client connection; sends one request at a time. Connects on the first request or connect().
+class HttpConnection
+{
+public:
+    using Callback = std::function<void(HttpOutcome)>;
+    using ConnectCallback = std::function<void(std::optional<HttpFailure>)>;
+
+    HttpConnection(EventLoop &loop, SocketAddress address);
+    /// Closes the connection; pending callbacks are dropped.
+    ~HttpConnection();
+
+    void connect(Milliseconds timeout, ConnectCallback callback);
+    /// The timeout covers connecting, sending and the whole response. After any failure the
+    /// connection is closed and the next request opens a new one.
+    void send(HttpRequest request, Milliseconds timeout, Callback callback);
+    bool isOpen() const;
+    bool isBusy() const;
+    void close();
+    /// Called when the peer closes the connection while no request is running.
+    void setCloseHandler(std::function<void()> handler);
+
+    struct Private;
+
+private:
+    std::shared_ptr<Private> private_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/net/http_codec.cpp
@@ -0,0 +1,198 @@
+#include "net/http_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace pistachiowood {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Responses carry whole object lists of the platform; 64 MiB bounds a misbehaving peer.
+constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+ParseState stateOf(const beast::error_code &failure)
+{
+    if (failure == http::error::header_limit)
+        return ParseState::HeaderTooLarge;
+    if (failure == http::error::body_limit)
+        return ParseState::BodyTooLarge;
+    return ParseState::Malformed;
+}
+
+template <typename Parser>
+ParseState feed(Parser &parser, std::string &input)
+{
+    while (!parser.is_done() && !input.empty()) {
+        beast::error_code failure;
+        const std::size_t used = parser.put(boost::asio::buffer(input), failure);
+        input.erase(0, used);
+        if (failure == http::error::need_more)
+            return ParseState::NeedMore;
+        if (failure)
+            return stateOf(failure);
+        if (used == 0)
+            break;
+    }
+    return parser.is_done() ? ParseState::Complete : ParseState::NeedMore;
+}
+
+template <bool isRequest, typename Fields>
+std::string serialize(http::message<isRequest, http::string_body, Fields> &message)
+{
+    std::string output;
+    http::serializer<isRequest, http::string_body, Fields> serializer(message);
+    while (!serializer.is_done()) {
+        beast::error_code failure;
+        std::size_t written = 0;
+        serializer.next(failure, [&](beast::error_code &, const auto &buffers) {
+            for (const auto buffer : beast::buffers_range_ref(buffers)) {
+                output.append(static_cast<const char *>(buffer.data()), buffer.size());
+                written += buffer.size();
+            }
+        });
+        if (failure)
+            break;
+        serializer.consume(written);
+    }
+    return output;
+}
+
+} // namespace
+
+struct HttpRequestParser::Private
+{
+    explicit Private(const HttpLimits &httpLimits)
+        : limits(httpLimits)
+    {
+        reset();
+    }
+
+    void reset()
+    {
+        parser.emplace();
+        parser->eager(true);
+        parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+        parser->body_limit(limits.maxBodyBytes);
+    }
+
+    HttpLimits limits;
+    std::optional<http::request_parser<http::string_body>> parser;
+};
+
+HttpRequestParser::HttpRequestParser(const HttpLimits &limits)
+    : private_(std::make_unique<Private>(limits))
+{
+}
+
+HttpRequestParser::~HttpRequestParser() = default;
+
+ParseState HttpRequestParser::parse(std::string &input)
+{
+    return feed(*private_->parser, input);
+}
+
+HttpRequest HttpRequestParser::takeRequest()
+{
+    auto message = private_->parser->release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.body = std::move(message.body());
+    if (const auto header = message[http::field::authorization]; header.starts_with(bearerPrefix))
+        request.bearer = std::string(header.substr(bearerPrefix.size()));
+    private_->reset();
+    return request;
+}
+
+bool HttpRequestParser::keepAlive() const
+{
+    return private_->parser->keep_alive();
+}
+
+bool HttpRequestParser::started() const
+{
+    return private_->parser->got_some();
+}
+
+struct HttpResponseParser::Private
+{
+    Private() { reset(); }
+
+    void reset()
+    {
+        parser.emplace();
+        parser->eager(true);
+        parser->body_limit(maxResponseBytes);
+    }
+
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+HttpResponseParser::HttpResponseParser()
+    : private_(std::make_unique<Private>())
+{
+}
+
+HttpResponseParser::~HttpResponseParser() = default;
+
+ParseState HttpResponseParser::parse(std::string &input)
+{
+    return feed(*private_->parser, input);
+}
+
+HttpResponse HttpResponseParser::takeResponse()
+{
+    auto message = private_->parser->release();
+    HttpResponse response;
+    response.status = message.result_int();
+    response.body = std::move(message.body());
+    response.contentType = std::string(message[http::field::content_type]);
+    private_->reset();
+    return response;
+}
+
+bool HttpResponseParser::keepAlive() const
+{
+    return private_->parser->keep_alive();
+}
+
+void HttpResponseParser::reset()
+{
+    private_->reset();
+}
+
+std::string encodeRequest(const HttpRequest &request, const SocketAddress &host)
+{
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
+                                             11);
+    message.set(http::field::host, host.host + ":" + std::to_string(host.port));
+    if (!request.bearer.empty())
+        message.set(http::field::authorization, std::string(bearerPrefix) + request.bearer);
+    if (!request.body.empty())
+        message.set(http::field::content_type, "application/json");
+    message.body() = request.body;
+    message.prepare_payload();
+    return serialize(message);
+}
+
+std::string encodeResponse(const HttpResponse &response, bool keepAlive)
+{
+    http::response<http::string_body> message(http::int_to_status(response.status), 11);
+    message.set(http::field::content_type, response.contentType);
+    message.keep_alive(keepAlive);
+    message.body() = response.body;
+    message.prepare_payload();
+    return serialize(message);
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/net/http_test.cpp
@@ -0,0 +1,94 @@
+#include "net/http.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+
+namespace {
+
+const SocketAddress anyPort{"127.0.0.1", 0};
+
+HttpResponse echo(const HttpRequest &request)
+{
+    return {200, request.method + " " + request.target + " " + request.body};
+}
+
+} // namespace
+
+TEST_GROUP(Http)
+{
+    EventLoop loop;
+
+    // Runs one request and returns its outcome.
+    HttpOutcome exchange(HttpConnection & connection, HttpRequest request, Milliseconds timeout)
+    {
+        HttpOutcome result;
+        connection.send(std::move(request), timeout, [&](HttpOutcome outcome) {
+            result = std::move(outcome);
+            loop.stop();
+        });
+        EventLoop &running = loop;
+        running.run();
+        return result;
+    }
+};
+
+// Guards against a lost or altered body on a kept-alive connection.
+TEST(Http, answersRequestWithLargeBody)
+{
+    HttpServer server(loop, {},
+                      [](const HttpRequest &request, const HttpServer::Responder &respond) {
+                          respond(echo(request));
+                      });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    const std::string body(500000, 'x');
+    const auto outcome = exchange(connection, {.method = "POST", .target = "/a?b=c", .body = body},
+                                  Milliseconds(5000));
+    CHECK_EQUAL(0, outcome.index());
+    CHECK_TRUE(std::get<HttpResponse>(outcome).body == "POST /a?b=c " + body);
+    CHECK_TRUE(connection.isOpen());
+}
+
+// Guards against unbounded memory for an oversized body.
+TEST(Http, refusesOversizedBody)
+{
+    HttpServer server(loop, {.maxBodyBytes = 1000},
+                      [](const HttpRequest &request, const HttpServer::Responder &respond) {
+                          respond(echo(request));
+                      });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    const auto outcome = exchange(connection, {.method = "POST", .body = std::string(2000, 'x')},
+                                  Milliseconds(5000));
+    CHECK_EQUAL(413, std::get<HttpResponse>(outcome).status);
+}
+
+// Guards against a "not sent" report for a request that may have reached the peer.
+TEST(Http, timeoutAfterSendingReportsRequestSent)
+{
+    std::vector<HttpServer::Responder> pending;
+    HttpServer server(loop, {}, [&](const HttpRequest &, HttpServer::Responder respond) {
+        pending.push_back(std::move(respond));
+    });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    const auto outcome = exchange(connection, {}, Milliseconds(50));
+    const auto &failure = std::get<HttpFailure>(outcome);
+    CHECK_TRUE(failure.kind == HttpFailure::Kind::Timeout);
+    CHECK_TRUE(failure.requestSent);
+    CHECK_FALSE(connection.isOpen());
+}
+
+// Guards against treating a refused connection as an unknown outcome.
+TEST(Http, refusedConnectionReportsNothingSent)
+{
+    HttpConnection connection(loop, {"127.0.0.1", 1});
+    const auto outcome = exchange(connection, {}, Milliseconds(1000));
+    const auto &failure = std::get<HttpFailure>(outcome);
+    CHECK_TRUE(failure.kind == HttpFailure::Kind::Refused);
+    CHECK_FALSE(failure.requestSent);
+}
