--- /dev/null
+++ b/src/routing/read_router.cpp
@@ -0,0 +1,173 @@
+#include "routing/read_router.h"
+
+#include <algorithm>
+#include <compare>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr double rateSmoothing = 0.2; // weight of the newest sample of the replication rate
+
+Milliseconds elapsed(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<Milliseconds>(to - from);
+}
+
+} // namespace
+
+AnswerVerdict checkReadAnswer(const ReadRequirement &requirement, const EndpointReport &report)
+{
+    if (report.term != requirement.term)
+        return AnswerVerdict::WrongTerm;
+    if (report.position < requirement.minPosition)
+        return AnswerVerdict::BelowToken;
+    if (report.age > requirement.maxAge)
+        return AnswerVerdict::TooOld;
+    return AnswerVerdict::Deliver;
+}
+
+// Smaller keys are tried first.
+struct ReadRouter::SortKey
+{
+    bool unlikelyToSatisfy = false;
+    int distanceClass = 0;
+    bool isPrimary = false;
+    int distance = 0;
+    Milliseconds age{0};
+
+    auto operator<=>(const SortKey &) const = default;
+};
+
+ReadRouter::ReadRouter(Settings settings, const Clock &clock)
+    : settings_(settings)
+    , clock_(clock)
+{
+}
+
+void ReadRouter::observe(const EndpointId &endpoint, const EndpointReport &report)
+{
+    Estimate &estimate = estimates_[endpoint];
+    const TimePoint now = clock_.now();
+    const bool sameTerm = estimate.report.term == report.term;
+    // Answers may overtake each other; an older report of the same term adds nothing.
+    if (report.term < estimate.report.term
+        || (sameTerm && report.position < estimate.report.position))
+        return;
+    if (const auto step = elapsed(estimate.observedAt, now); sameTerm && step.count() > 0) {
+        const double advanced =
+            static_cast<double>(report.position.value() - estimate.report.position.value());
+        const double sample = advanced / static_cast<double>(step.count());
+        estimate.entriesPerMillisecond += rateSmoothing * (sample - estimate.entriesPerMillisecond);
+    }
+    estimate.report = report;
+    estimate.observedAt = now;
+}
+
+void ReadRouter::recordVerdict(const EndpointId &endpoint, AnswerVerdict verdict)
+{
+    Estimate &estimate = estimates_[endpoint];
+    if (verdict == AnswerVerdict::Deliver) {
+        estimate.staleAnswers = 0;
+        estimate.ejections = 0;
+        estimate.ejectedUntil.reset();
+    } else if (++estimate.staleAnswers >= settings_.staleAnswersBeforeEjection) {
+        eject(estimate);
+    }
+}
+
+void ReadRouter::recordFailure(const EndpointId &endpoint)
+{
+    eject(estimates_[endpoint]);
+}
+
+void ReadRouter::forget(const EndpointId &endpoint)
+{
+    estimates_.erase(endpoint);
+}
+
+void ReadRouter::eject(Estimate &estimate)
+{
+    const auto doublings = std::min(estimate.ejections, 16U);
+    const auto period =
+        std::min(settings_.firstEjection * (1 << doublings), settings_.longestEjection);
+    estimate.ejectedUntil = clock_.now() + period;
+    estimate.staleAnswers = 0;
+    ++estimate.ejections;
+}
+
+bool ReadRouter::isEjected(const EndpointId &endpoint) const
+{
+    const auto found = estimates_.find(endpoint);
+    return found != estimates_.end() && found->second.ejectedUntil
+           && *found->second.ejectedUntil > clock_.now();
+}
+
+LogPosition ReadRouter::estimatePosition(const Estimate &estimate) const
+{
+    // Half of the expected advance: a bet that fails costs a retry, a bet not made costs a primary
+    // read.
+    const auto sinceReport = elapsed(estimate.observedAt, clock_.now()) + settings_.expectedCatchUp;
+    const double advance =
+        estimate.entriesPerMillisecond * static_cast<double>(sinceReport.count()) / 2;
+    return LogPosition(estimate.report.position.value() + static_cast<std::uint64_t>(advance));
+}
+
+Milliseconds ReadRouter::estimateAge(const Estimate &estimate) const
+{
+    // A replica that was fresh is expected to stay fresh; one that reported an age may have grown
+    // older.
+    if (estimate.report.age <= settings_.expectedCatchUp)
+        return estimate.report.age;
+    return estimate.report.age + elapsed(estimate.observedAt, clock_.now()) / 2;
+}
+
+bool ReadRouter::isExpectedToSatisfy(const EndpointId &endpoint,
+                                     const ReadRequirement &requirement) const
+{
+    const auto found = estimates_.find(endpoint);
+    if (found == estimates_.end())
+        return true; // unknown endpoints are tried so that an estimate exists
+    const Estimate &estimate = found->second;
+    return estimatePosition(estimate) >= requirement.minPosition
+           && estimateAge(estimate) <= requirement.maxAge;
+}
+
+ReadRouter::SortKey ReadRouter::sortKey(const ReadCandidate &candidate,
+                                        const ReadRequirement &requirement,
+                                        const Locality &locality) const
+{
+    const bool sameZone = candidate.zone == locality.zone;
+    const bool sameRegion = candidate.region == locality.region;
+    const int distance = sameZone ? 0 : sameRegion ? 1 : 2;
+    SortKey key;
+    key.isPrimary = candidate.isPrimary;
+    key.distance = distance;
+    // The primary holds every entry of its term, so it satisfies every token.
+    key.unlikelyToSatisfy = !candidate.isPrimary && !isExpectedToSatisfy(candidate.id, requirement);
+    key.distanceClass =
+        settings_.preference == ReplicaPreference::Region ? (sameRegion ? 0 : 1) : distance;
+    if (const auto found = estimates_.find(candidate.id); found != estimates_.end())
+        key.age = estimateAge(found->second);
+    return key;
+}
+
+std::vector<EndpointId> ReadRouter::rank(const std::vector<ReadCandidate> &candidates,
+                                         const ReadRequirement &requirement,
+                                         const Locality &locality) const
+{
+    std::vector<std::pair<SortKey, EndpointId>> keyed;
+    for (const ReadCandidate &candidate : candidates) {
+        if (candidate.isPrimary
+            || (settings_.preference != ReplicaPreference::PrimaryOnly && !isEjected(candidate.id)))
+            keyed.emplace_back(sortKey(candidate, requirement, locality), candidate.id);
+    }
+    std::sort(keyed.begin(), keyed.end());
+    std::vector<EndpointId> ranked;
+    ranked.reserve(keyed.size());
+    for (auto &[key, id] : keyed)
+        ranked.push_back(std::move(id));
+    return ranked;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/routing/read_router_test.cpp
@@ -0,0 +1,76 @@
+#include "routing/read_router.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+
+TEST_GROUP(ReadRouting)
+{
+    ManualClock clock;
+    ReadRouter router{{}, clock};
+    const Locality home{ZoneName("z1"), RegionName("r1")};
+    const EndpointId primary{"primary"};
+    const EndpointId near{"near"};
+    const EndpointId far{"far"};
+    const std::vector<ReadCandidate> candidates{
+        {primary, ZoneName("z1"), RegionName("r1"), true},
+        {near, ZoneName("z2"), RegionName("r1"), false},
+        {far, ZoneName("z3"), RegionName("r2"), false},
+    };
+
+    static EndpointReport report(std::uint64_t position, int age)
+    {
+        return {Term(1), LogPosition(position), Term(1), EndpointRole::Replica, Milliseconds(age)};
+    }
+
+    std::vector<EndpointId> rank(std::uint64_t minPosition, int maxAge = 1000) const
+    {
+        return router.rank(candidates, {Term(1), LogPosition(minPosition), Milliseconds(maxAge)},
+                           home);
+    }
+};
+
+// Guards against primary reads that a replica of the region could serve.
+TEST(ReadRouting, replicaOfTheRegionPrecedesPrimaryAndRemoteReplica)
+{
+    CHECK_TRUE(rank(0) == (std::vector<EndpointId>{near, primary, far}));
+}
+
+// Guards against sending a session to a replica that is known to be behind it.
+TEST(ReadRouting, laggingReplicaComesAfterPrimary)
+{
+    router.observe(near, report(10, 0));
+    CHECK_TRUE(rank(500).front() == primary);
+    CHECK_TRUE(rank(10).front() == near);
+}
+
+// Guards against an old replica that keeps costing a retry on each read.
+TEST(ReadRouting, repeatedStaleAnswersEjectTheReplicaForAWhile)
+{
+    for (int i = 0; i < 3; ++i)
+        router.recordVerdict(near, AnswerVerdict::TooOld);
+    CHECK_TRUE(rank(0).front() == primary);
+    clock.advance(Milliseconds(501));
+    CHECK_TRUE(rank(0).front() == near);
+}
+
+// Guards against delivery of data that the session or the caller does not accept.
+TEST(ReadRouting, answersAreCheckedAgainstTheirOwnReport)
+{
+    const ReadRequirement requirement{Term(1), LogPosition(10), Milliseconds(100)};
+    CHECK_TRUE(checkReadAnswer(requirement, report(10, 100)) == AnswerVerdict::Deliver);
+    CHECK_TRUE(checkReadAnswer(requirement, report(9, 0)) == AnswerVerdict::BelowToken);
+    CHECK_TRUE(checkReadAnswer(requirement, report(10, 101)) == AnswerVerdict::TooOld);
+    EndpointReport oldTerm = report(10, 0);
+    oldTerm.term = Term(0);
+    CHECK_TRUE(checkReadAnswer(requirement, oldTerm) == AnswerVerdict::WrongTerm);
+}
+
+// Guards against a service whose replicas are all ejected becoming unreadable.
+TEST(ReadRouting, primaryIsNeverEjected)
+{
+    router.recordFailure(primary);
+    CHECK_TRUE(rank(0).back() == primary || rank(0)[1] == primary);
+}
