--- /dev/null
+++ b/src/statements/statement_router.h
@@ -0,0 +1,98 @@
+#ifndef PISTACHIOWOOD_STATEMENTS_STATEMENT_ROUTER_H
+#define PISTACHIOWOOD_STATEMENTS_STATEMENT_ROUTER_H
+
+#include "base/random.h"
+#include "endpoints/attempt.h"
+#include "routing/read_router.h"
+#include "routing/routing_table.h"
+#include "writes/retry_policy.h"
+
+#include <pistachiowood/statement.h>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace pistachiowood {
+
+/// Carries attempts to the daemon that owns an endpoint, and starts timers.
+class AttemptTransport
+{
+public:
+    virtual ~AttemptTransport() = default;
+    virtual void execute(const EndpointRoute &route, const AttemptRequest &request, AttemptCallback callback) = 0;
+    /// Executes on the daemon that holds the request's transaction.
+    virtual void executeInTransaction(const AttemptRequest &request, AttemptCallback callback) = 0;
+    virtual void startTimer(Milliseconds delay, std::function<void()> task) = 0;
+    /// Asks the control thread for newer status of the service.
+    virtual void requestStatus(const ServiceName &service) = 0;
+};
+
+/// Caller side of a statement: chooses endpoints, retries within the deadline and the retry budget,
+/// and settles the outcome. Lives in the traffic thread.
+class StatementRouter
+{
+public:
+    using Callback = std::function<void(StatementAnswer)>;
+
+    struct Settings
+    {
+        ReadRouter::Settings reads;
+        RetryLimits retries;
+        /// A service whose primary has failed for this long refuses writes at once.
+        Milliseconds failFastAfter { 3000 };
+        /// While it fails fast, one write per interval is still tried.
+        Milliseconds failFastProbeInterval { 250 };
+        Milliseconds defaultMaxAge { 10000 };
+    };
+
+    StatementRouter(Settings settings, Locality locality, AttemptTransport &transport, const Clock &clock,
+                    RandomSource &random);
+    ~StatementRouter();
+
+    void setRoutingTable(std::shared_ptr<const RoutingTable> table);
+    /// Records a report that came with a probe or another statement.
+    void observe(const EndpointId &endpoint, const EndpointReport &report);
+
+    /// Answers once, at the latest at the request's deadline.
+    void handleStatement(const StatementRequest &request, Callback callback);
+    void beginTransaction(const StatementRequest &request,
+                          std::function<void(StatementAnswer, std::optional<TransactionId>)> callback);
+    void finishTransaction(const StatementRequest &request, bool commit, Callback callback);
+    /// Settles an earlier request whose outcome was unknown; see AttemptOperation::Resolve.
+    void resolveRequest(const StatementRequest &request, Callback callback);
+
+    std::size_t runningStatements() const { return running_; }
+
+private:
+    friend class ReadExecution;
+    friend class WriteExecution;
+
+    /// Health of a service's primary as seen from this daemon.
+    struct PrimaryHealth
+    {
+        std::optional<TimePoint> failingSince;
+        TimePoint lastProbe;
+    };
+
+    std::shared_ptr<const ServiceRoutes> findRoutes(const ServiceName &service) const;
+    void recordPrimaryResult(const ServiceName &service, bool reached);
+    bool shouldFailFast(const ServiceName &service);
+    RetryBudget &budgetOf(const ServiceName &service);
+    RequestId drawRequestId();
+
+    Settings settings_;
+    Locality locality_;
+    AttemptTransport &transport_;
+    const Clock &clock_;
+    RandomSource &random_;
+    std::shared_ptr<const RoutingTable> table_;
+    ReadRouter reads_;
+    std::unordered_map<ServiceName, PrimaryHealth> health_;
+    std::unordered_map<ServiceName, std::unique_ptr<RetryBudget>> budgets_;
+    std::size_t running_ = 0;
+};
+
+} // namespace pistachiowood
+
+#endif
