--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -18,6 +18,10 @@
     EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                             \
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                    \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                   \
+    EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                \
+    EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")      \
+    EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                            \
+    EVENT(TransactionClosed, 1303, Info, "transaction closed by the pool")                         \
     EVENT(InvariantBroken, 1900, Fatal, "invariant broken")
 
 enum class Event {
