Add durability tracking, retry decisions and write outcomes

A write is committed once a majority holds its position in the same term. Only answers whose last entry was written in the current term count, because the tail of an older term may differ from the primary's log or may still be replaced.

--- /dev/null
+++ b/src/writes/durability_tracker.cpp
@@ -0,0 +1,126 @@
+#include "writes/durability_tracker.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace pistachiowood {
+
+DurabilityTracker::DurabilityTracker(const Clock &clock)
+    : clock_(clock)
+{
+}
+
+void DurabilityTracker::setGroup(Term term, const EndpointId &primary,
+                                 const std::vector<EndpointId> &members)
+{
+    if (term < term_)
+        return;
+    std::map<EndpointId, LogPosition> held;
+    for (const EndpointId &member : members) {
+        const auto known = held_.find(member);
+        held[member] = term == term_ && known != held_.end() ? known->second : LogPosition();
+    }
+    held_ = std::move(held);
+    primary_ = primary;
+    if (term > term_) {
+        // Waits end with the last position known for their own term.
+        const auto first = waits_.lower_bound({term, LogPosition()});
+        for (auto wait = waits_.begin(); wait != first; ++wait)
+            end(wait->second, wait->first.first, Durability::TermChanged);
+        waits_.erase(waits_.begin(), first);
+        term_ = term;
+        durable_ = LogPosition();
+    }
+    updateDurable();
+}
+
+void DurabilityTracker::report(const EndpointId &endpoint, const EndpointReport &report)
+{
+    const auto member = held_.find(endpoint);
+    if (member == held_.end() || report.term != term_ || report.lastEntryTerm != term_)
+        return;
+    member->second = std::max(member->second, report.position);
+    // A replica gets entries of this term from its primary only.
+    if (const auto primary = held_.find(primary_); primary != held_.end())
+        primary->second = std::max(primary->second, report.position);
+    updateDurable();
+}
+
+void DurabilityTracker::wait(Ticket ticket, Term term, LogPosition position, TimePoint deadline)
+{
+    if (term < term_)
+        return end({ticket, deadline}, term, Durability::TermChanged);
+    waits_.emplace(Key{term, position}, Wait{ticket, deadline});
+    settleWaits();
+}
+
+void DurabilityTracker::cancel(Ticket ticket)
+{
+    std::erase_if(waits_, [&](const auto &entry) { return entry.second.ticket == ticket; });
+    std::erase_if(results_,
+                  [&](const DurabilityResult &result) { return result.ticket == ticket; });
+}
+
+std::vector<DurabilityResult> DurabilityTracker::takeResults()
+{
+    const TimePoint now = clock_.now();
+    std::erase_if(waits_, [&](const auto &entry) {
+        if (entry.second.deadline > now)
+            return false;
+        end(entry.second, entry.first.first, Durability::Expired);
+        return true;
+    });
+    return std::exchange(results_, {});
+}
+
+std::vector<Observer> DurabilityTracker::neededObservers() const
+{
+    const auto first = waits_.lower_bound({term_, LogPosition()});
+    const auto last = waits_.upper_bound({term_, LogPosition(UINT64_MAX)});
+    if (first == last)
+        return {};
+    const LogPosition lowest = first->first.second;
+    const LogPosition highest = std::prev(last)->first.second;
+    std::vector<Observer> observers;
+    for (const auto &[endpoint, position] : held_) {
+        if (endpoint == primary_ || position >= highest)
+            continue;
+        // An answer below the lowest awaited position would only cost bandwidth.
+        const LogPosition before(lowest.value() == 0 ? 0 : lowest.value() - 1);
+        observers.push_back({endpoint, std::max(position, before)});
+    }
+    return observers;
+}
+
+void DurabilityTracker::updateDurable()
+{
+    if (held_.empty())
+        return;
+    std::vector<LogPosition> positions;
+    for (const auto &[endpoint, position] : held_)
+        positions.push_back(position);
+    std::sort(positions.begin(), positions.end(), std::greater<>());
+    // What a majority held once stays durable when members change within the term.
+    durable_ = std::max(durable_, positions[positions.size() / 2]);
+    settleWaits();
+}
+
+void DurabilityTracker::settleWaits()
+{
+    const auto first = waits_.lower_bound({term_, LogPosition()});
+    const auto last = waits_.upper_bound({term_, durable_});
+    // Position 0 is the empty log, which every member of a known group holds.
+    if (held_.empty())
+        return;
+    for (auto wait = first; wait != last; ++wait)
+        end(wait->second, term_, Durability::Durable);
+    waits_.erase(first, last);
+}
+
+void DurabilityTracker::end(const Wait &wait, Term term, Durability durability)
+{
+    results_.push_back({wait.ticket, durability, term, term == term_ ? durable_ : LogPosition()});
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/writes/retry_policy.cpp
@@ -0,0 +1,101 @@
+#include "writes/retry_policy.h"
+
+#include <algorithm>
+#include <string>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr std::int64_t tokensPerRetry = 1000;
+constexpr std::uint32_t maxBackoffDoublings = 20;
+
+/// Errors of the request itself come back the same on every attempt.
+bool isTransient(ErrorCode code)
+{
+    return code == ErrorCode::Unavailable || code == ErrorCode::DeadlineExceeded
+           || code == ErrorCode::StateStale || code == ErrorCode::OutcomeUnknown;
+}
+
+bool mayRetry(const FailedAttempt &attempt)
+{
+    if (attempt.inTransaction)
+        return false; // its earlier statements exist on the lost connection only
+    if (attempt.refusal == RefusalCode::RefusedRequest
+        || attempt.refusal == RefusalCode::TransactionLost)
+        return false;
+    const bool repeatable = attempt.kind == StatementKind::Read || attempt.idempotent;
+    if (!repeatable && (attempt.mayBeSent || attempt.earlierUnknown))
+        return false;
+    return attempt.refusal || isTransient(attempt.error.code);
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryLimits &limits, const Clock &clock)
+    : limits_(limits)
+    , clock_(clock)
+    , refilledAt_(clock.now())
+{
+    add(tokensPerRetry * limits_.minimumPerSecond);
+}
+
+void RetryBudget::recordRequest()
+{
+    add(tokensPerRetry * limits_.budgetPercent / 100);
+}
+
+bool RetryBudget::isAvailable() const
+{
+    return tokensNow() >= tokensPerRetry;
+}
+
+bool RetryBudget::take()
+{
+    if (!isAvailable())
+        return false;
+    add(-tokensPerRetry);
+    return true;
+}
+
+std::int64_t RetryBudget::tokensNow() const
+{
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(clock_.now() - refilledAt_);
+    // A token is a thousandth of a retry, so the rate per second is the tokens per millisecond.
+    return std::min(tokens_ + elapsed.count() * limits_.minimumPerSecond,
+                    tokensPerRetry * limits_.burst);
+}
+
+void RetryBudget::add(std::int64_t tokens)
+{
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(clock_.now() - refilledAt_);
+    tokens_ = std::min(tokensNow() + tokens, tokensPerRetry * limits_.burst);
+    // Adds whole milliseconds only: the rest of the current one counts next time.
+    refilledAt_ += elapsed;
+}
+
+Milliseconds drawBackoff(std::uint32_t retry, const RetryLimits &limits, RandomSource &random)
+{
+    const std::int64_t factor = std::int64_t{1} << std::min(retry, maxBackoffDoublings);
+    const Milliseconds bound = std::min(limits.firstBackoff * factor, limits.backoffCap);
+    return Milliseconds(
+        static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(bound.count()) + 1)));
+}
+
+RetryDecision decideRetry(const FailedAttempt &attempt, Milliseconds backoff, bool budgetAvailable)
+{
+    std::string reason = attempt.error.message;
+    if (mayRetry(attempt)) {
+        if (budgetAvailable && backoff < attempt.remaining)
+            return RetryNow{backoff};
+        reason += budgetAvailable ? "; no time left to retry" : "; retry budget is used up";
+    }
+    if (attempt.earlierUnknown || (attempt.mayBeSent && !attempt.refusal))
+        return AnswerUnknown{{ErrorCode::OutcomeUnknown, std::move(reason)}};
+    // OutcomeUnknown of a statement that was never sent would contradict the outcome.
+    const ErrorCode code = attempt.error.code == ErrorCode::OutcomeUnknown ? ErrorCode::Unavailable
+                                                                           : attempt.error.code;
+    return AnswerNotRun{{code, std::move(reason)}};
+}
+
+} // namespace pistachiowood
