--- a/src/net/http.h
+++ b/src/net/http.h
@@ -25,6 +25,10 @@
     std::uint64_t connection = 0; ///< set by the server: id of the connection, unique per server
 };
 
+/// Response status with which a server closes the connection without an answer; stand-ins use it to
+/// lose answers.
+inline constexpr unsigned closeConnection = 0;
+
 struct HttpResponse
 {
     unsigned status = 200;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -124,6 +124,10 @@
     {
         if (closed_)
             return;
+        if (response.status == closeConnection) {
+            close();
+            return;
+        }
         if (handling_)
             --server_->running;
         handling_ = false;
--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -92,3 +92,18 @@
     CHECK_TRUE(failure.kind == HttpFailure::Kind::Refused);
     CHECK_FALSE(failure.requestSent);
 }
+
+// Guards against an answer that reaches the caller although it was meant to be lost.
+TEST(Http, closeConnectionSendsNoAnswer)
+{
+    HttpServer server(loop, {}, [](const HttpRequest &, const HttpServer::Responder &respond) {
+        respond({closeConnection, "body"});
+    });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    const auto outcome = exchange(connection, {}, Milliseconds(1000));
+    const auto &failure = std::get<HttpFailure>(outcome);
+    CHECK_TRUE(failure.kind == HttpFailure::Kind::ConnectionLost);
+    CHECK_TRUE(failure.requestSent);
+    CHECK_EQUAL(0, server.runningRequests());
+}
