--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -18,6 +18,20 @@
     EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                             \
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                    \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                   \
+    EVENT(PrimarySuspected, 1500, Warning, "primary is suspected")                                 \
+    EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected")                   \
+    EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed")                                \
+    EVENT(PromotionStarted, 1503, Info, "promotion started")                                       \
+    EVENT(PromotionStepFailed, 1504, Warning, "promotion gave up in a step")                       \
+    EVENT(PromotionCompleted, 1505, Info, "promotion completed")                                   \
+    EVENT(PromotionAbandoned, 1506, Info, "promotion abandoned")                                   \
+    EVENT(SwitchoverDue, 1507, Info, "planned switchover is due")                                  \
+    EVENT(SwitchoverStarted, 1508, Info, "planned switchover started; admission stops")            \
+    EVENT(SwitchoverTimedOut, 1509, Warning, "planned switchover timed out; admission resumes")    \
+    EVENT(PrimaryAdopted, 1510, Info, "primary of a newer term adopted from probes")               \
+    EVENT(PromotionHeldDown, 1511, Info, "promotion waits for the hold-down")                      \
+    EVENT(StatusPublishFailed, 1512, Warning,                                                      \
+          "service status could not be published; trying again")                                   \
     EVENT(InvariantBroken, 1900, Fatal, "invariant broken")
 
 enum class Event {
--- /dev/null
+++ b/src/primary/failure_detector.cpp
@@ -0,0 +1,213 @@
+#include "primary/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+std::string_view failureReasonName(FailureReason reason)
+{
+    switch (reason) {
+    case FailureReason::None:
+        return "none";
+    case FailureReason::Unreachable:
+        return "unreachable";
+    case FailureReason::Isolated:
+        return "isolated";
+    case FailureReason::Slow:
+        return "slow";
+    case FailureReason::NotPrimary:
+        return "not_primary";
+    case FailureReason::NoPrimary:
+        return "no_primary";
+    }
+    return "none";
+}
+
+FailureDetector::FailureDetector(const Clock &clock, ZoneName zone, DetectorSettings settings)
+    : clock_(clock)
+    , zone_(std::move(zone))
+    , settings_(settings)
+{
+    reset();
+}
+
+void FailureDetector::setMembers(std::vector<EndpointId> members)
+{
+    std::map<EndpointId, Member> kept;
+    for (EndpointId &id : members) {
+        const auto known = members_.find(id);
+        kept[std::move(id)] = known == members_.end() ? Member{} : known->second;
+    }
+    members_ = std::move(kept);
+}
+
+void FailureDetector::setPrimary(std::optional<EndpointId> primary, Term term)
+{
+    if (primary == primary_ && term == term_)
+        return;
+    primary_ = std::move(primary);
+    term_ = term;
+    reset();
+}
+
+void FailureDetector::reset()
+{
+    since_ = clock_.now();
+    lastGood_ = since_;
+    everGood_ = false;
+    refusals_ = 0;
+    latencies_.clear();
+    confirmations_.clear();
+    for (auto &[id, member] : members_)
+        member = Member{};
+}
+
+void FailureDetector::handleProbe(const EndpointId &endpoint, const ProbeResult &result,
+                                  Milliseconds latency)
+{
+    const auto found = members_.find(endpoint);
+    if (found == members_.end())
+        return;
+    const TimePoint now = clock_.now();
+    Member &member = found->second;
+    const auto *status = std::get_if<EndpointStatus>(&result);
+    member.lastProbeFailed = status == nullptr;
+    if (status) {
+        member.status = *status;
+        member.statusAt = now;
+    }
+    if (endpoint != primary_)
+        return;
+    if (!status) {
+        const bool refused = std::get<ProbeFailure>(result) == ProbeFailure::Refused;
+        refusals_ = refused ? refusals_ + 1 : 0;
+        return;
+    }
+    refusals_ = 0;
+    if (status->report.role != EndpointRole::Primary || status->report.term < term_)
+        return;
+    lastGood_ = now;
+    everGood_ = true;
+    latencies_.push_back({now, latency});
+    // One sample older than the window stays, to show that the whole window is covered.
+    while (latencies_.size() > 1 && now - latencies_[1].at >= settings_.slowWindow)
+        latencies_.pop_front();
+}
+
+void FailureDetector::handleConfirmation(const VmId &peer, const ZoneName &zone, bool reachable)
+{
+    confirmations_[peer] = {zone, reachable, clock_.now()};
+}
+
+const EndpointStatus *FailureDetector::recentStatus(const EndpointId &endpoint) const
+{
+    const auto found = members_.find(endpoint);
+    if (found == members_.end() || !found->second.status
+        || clock_.now() - found->second.statusAt > settings_.reportLifetime)
+        return nullptr;
+    return &*found->second.status;
+}
+
+bool FailureDetector::hasRecentGoodAnswer() const
+{
+    return refusals_ < settings_.suspicionRefusals
+           && clock_.now() - lastGood_ < settings_.suspicionTimeout;
+}
+
+bool FailureDetector::isSlow() const
+{
+    if (latencies_.size() < settings_.slowSamples
+        || clock_.now() - latencies_.front().at < settings_.slowWindow)
+        return false;
+    return std::ranges::all_of(latencies_, [this](const LatencySample &sample) {
+        return sample.latency > settings_.slowLimit;
+    });
+}
+
+// A replica in contact with a primary of any term shows that a primary is alive, even one that this
+// daemon has not heard of; it therefore never counts as lost.
+bool FailureDetector::cannotAssembleMajority(Milliseconds limit) const
+{
+    std::size_t lost = 0;
+    for (const auto &[id, member] : members_) {
+        const EndpointStatus *status = recentStatus(id);
+        if (status && status->report.role == EndpointRole::Replica
+            && (status->primaryContact >= limit || status->report.term == Term()))
+            ++lost;
+    }
+    return !members_.empty() && members_.size() - lost < majorityOf(members_.size());
+}
+
+bool FailureDetector::peersConfirm() const
+{
+    return std::ranges::any_of(confirmations_, [this](const auto &entry) {
+        const Confirmation &answer = entry.second;
+        return !answer.reachable && answer.zone != zone_
+               && clock_.now() - answer.at <= settings_.confirmationLifetime;
+    });
+}
+
+bool FailureDetector::peersContradict() const
+{
+    return std::ranges::any_of(confirmations_, [this](const auto &entry) {
+        return entry.second.reachable
+               && clock_.now() - entry.second.at <= settings_.confirmationLifetime;
+    });
+}
+
+bool FailureDetector::hasNewerPrimary() const
+{
+    return std::ranges::any_of(members_, [this](const auto &entry) {
+        const EndpointStatus *status = recentStatus(entry.first);
+        return status && status->report.term > term_
+               && (status->report.role == EndpointRole::Primary
+                   || status->primaryContact < settings_.contactLimit);
+    });
+}
+
+Assessment FailureDetector::assess() const
+{
+    const bool observed = clock_.now() - since_ >= settings_.suspicionTimeout;
+    if (!primary_) {
+        if (!observed)
+            return {};
+        const bool lost = cannotAssembleMajority(settings_.contactLimit);
+        return {lost ? Verdict::Failed : Verdict::Suspected, FailureReason::NoPrimary};
+    }
+    if (!hasRecentGoodAnswer()) {
+        const EndpointStatus *status = recentStatus(*primary_);
+        const auto found = members_.find(*primary_);
+        const bool answers = status && found != members_.end() && !found->second.lastProbeFailed;
+        const auto reason = answers ? FailureReason::NotPrimary : FailureReason::Unreachable;
+        const bool confirmed =
+            !answers && peersConfirm() && !peersContradict() && !hasNewerPrimary();
+        if (confirmed || cannotAssembleMajority(settings_.contactLimit))
+            return {Verdict::Failed, reason};
+        return {Verdict::Suspected, reason};
+    }
+    if (cannotAssembleMajority(settings_.isolationLimit))
+        return {Verdict::Failed, FailureReason::Isolated};
+    if (isSlow()) {
+        // Without an answer from another daemon a slow link to the primary looks the same as a slow
+        // primary; then the replicas' contact must be late as well.
+        const bool confirmed =
+            peersConfirm() ? !peersContradict()
+                           : !peersContradict() && cannotAssembleMajority(settings_.slowLimit);
+        return {confirmed ? Verdict::Failed : Verdict::Suspected, FailureReason::Slow};
+    }
+    return {};
+}
+
+std::optional<bool> FailureDetector::isPrimaryReachable() const
+{
+    if (!primary_)
+        return std::nullopt;
+    if (everGood_ && hasRecentGoodAnswer())
+        return !isSlow();
+    const bool enough = refusals_ >= settings_.suspicionRefusals
+                        || clock_.now() - lastGood_ >= settings_.suspicionTimeout;
+    return enough ? std::optional(false) : std::nullopt;
+}
+
+} // namespace pistachiowood
