--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -22,6 +22,20 @@
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")      \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                            \
     EVENT(TransactionClosed, 1303, Info, "transaction closed by the pool")                         \
+    EVENT(PrimarySuspected, 1500, Warning, "primary is suspected")                                 \
+    EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected")                   \
+    EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed")                                \
+    EVENT(PromotionStarted, 1503, Info, "promotion started")                                       \
+    EVENT(PromotionStepFailed, 1504, Warning, "promotion gave up in a step")                       \
+    EVENT(PromotionCompleted, 1505, Info, "promotion completed")                                   \
+    EVENT(PromotionAbandoned, 1506, Info, "promotion abandoned")                                   \
+    EVENT(SwitchoverDue, 1507, Info, "planned switchover is due")                                  \
+    EVENT(SwitchoverStarted, 1508, Info, "planned switchover started; admission stops")            \
+    EVENT(SwitchoverTimedOut, 1509, Warning, "planned switchover timed out; admission resumes")    \
+    EVENT(PrimaryAdopted, 1510, Info, "primary of a newer term adopted from probes")               \
+    EVENT(PromotionHeldDown, 1511, Info, "promotion waits for the hold-down")                      \
+    EVENT(StatusPublishFailed, 1512, Warning,                                                      \
+          "service status could not be published; trying again")                                   \
     EVENT(InvariantBroken, 1900, Fatal, "invariant broken")
 
 enum class Event {
--- a/src/statements/statement_router.h
+++ b/src/statements/statement_router.h
@@ -20,7 +20,8 @@
 {
 public:
     virtual ~AttemptTransport() = default;
-    virtual void execute(const EndpointRoute &route, const AttemptRequest &request, AttemptCallback callback) = 0;
+    virtual void execute(const EndpointRoute &route, const AttemptRequest &request,
+                         AttemptCallback callback) = 0;
     /// Executes on the daemon that holds the request's transaction.
     virtual void executeInTransaction(const AttemptRequest &request, AttemptCallback callback) = 0;
     virtual void startTimer(Milliseconds delay, std::function<void()> task) = 0;
@@ -40,14 +41,14 @@
         ReadRouter::Settings reads;
         RetryLimits retries;
         /// A service whose primary has failed for this long refuses writes at once.
-        Milliseconds failFastAfter { 3000 };
+        Milliseconds failFastAfter{3000};
         /// While it fails fast, one write per interval is still tried.
-        Milliseconds failFastProbeInterval { 250 };
-        Milliseconds defaultMaxAge { 10000 };
+        Milliseconds failFastProbeInterval{250};
+        Milliseconds defaultMaxAge{10000};
     };
 
-    StatementRouter(Settings settings, Locality locality, AttemptTransport &transport, const Clock &clock,
-                    RandomSource &random);
+    StatementRouter(Settings settings, Locality locality, AttemptTransport &transport,
+                    const Clock &clock, RandomSource &random);
     ~StatementRouter();
 
     void setRoutingTable(std::shared_ptr<const RoutingTable> table);
@@ -56,8 +57,9 @@
 
     /// Answers once, at the latest at the request's deadline.
     void handleStatement(const StatementRequest &request, Callback callback);
-    void beginTransaction(const StatementRequest &request,
-                          std::function<void(StatementAnswer, std::optional<TransactionId>)> callback);
+    void
+    beginTransaction(const StatementRequest &request,
+                     std::function<void(StatementAnswer, std::optional<TransactionId>)> callback);
     void finishTransaction(const StatementRequest &request, bool commit, Callback callback);
     /// Settles an earlier request whose outcome was unknown; see AttemptOperation::Resolve.
     void resolveRequest(const StatementRequest &request, Callback callback);
