--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -18,6 +18,22 @@
     EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                             \
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                    \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                   \
+    EVENT(MemberJoined, 1600, Info, "member joined")                                               \
+    EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")               \
+    EVENT(MemberDead, 1602, Warning, "member is considered dead")                                  \
+    EVENT(MemberLeaving, 1603, Info, "member is leaving")                                          \
+    EVENT(MemberRefuted, 1604, Info, "this daemon refuted a report that it had failed")            \
+    EVENT(MembershipMessageRefused, 1605, Warning, "membership message refused")                   \
+    EVENT(ConfigurationApplied, 1700, Info, "configuration applied")                               \
+    EVENT(ConfigurationRefused, 1701, Warning, "older configuration refused")                      \
+    EVENT(ObjectInvalid, 1702, Error, "object is invalid; the previous version stays in force")    \
+    EVENT(ObjectRefused, 1703, Debug, "older version of an object refused")                        \
+    EVENT(PlatformUnavailable, 1704, Warning,                                                      \
+          "platform does not answer; last known configuration stays in force")                     \
+    EVENT(PlatformRecovered, 1705, Info, "platform answers again")                                 \
+    EVENT(ConfigurationRelisted, 1706, Info, "watch position is too old; listing again")           \
+    EVENT(ConfigurationFromPeer, 1707, Info, "configuration taken from a peer")                    \
+    EVENT(ChangeUndetermined, 1708, Warning, "result of a configuration change is not known")      \
     EVENT(InvariantBroken, 1900, Fatal, "invariant broken")
 
 enum class Event {
--- a/src/configuration/objects.h
+++ b/src/configuration/objects.h
@@ -30,6 +30,8 @@
     std::uint32_t connections = defaultEndpointConnections;
     Labels labels;
     bool leaving = false; ///< receives no new work
+
+    friend bool operator==(const EndpointSpec &, const EndpointSpec &) = default;
 };
 
 /// Chooses a read policy for the sessions that match the selector; the first match wins.
@@ -38,6 +40,8 @@
     std::string sessionSelector; ///< matches session labels; empty matches every session
     std::string endpointSelector; ///< endpoints that may serve the read; empty allows all
     Milliseconds defaultMaxAge{10000}; ///< for reads that state no accepted age
+
+    friend bool operator==(const ReadRule &, const ReadRule &) = default;
 };
 
 struct ServiceObjectives
@@ -47,6 +51,8 @@
     double latencyShare = 0.99; ///< share of statements within the bound
     Milliseconds freshness{5000}; ///< age bound for reads served by replicas
     Milliseconds failoverGap{12000}; ///< longest accepted change of primary
+
+    friend bool operator==(const ServiceObjectives &, const ServiceObjectives &) = default;
 };
 
 struct ServiceSpec
@@ -59,6 +65,8 @@
     std::uint32_t queueLimit = 256; ///< statements that may wait per endpoint
     std::uint32_t weight = 1; ///< share in the fair queues
     ServiceObjectives objectives;
+
+    friend bool operator==(const ServiceSpec &, const ServiceSpec &) = default;
 };
 
 /// A proxy in front of services: the VMs whose labels match serve the services that match.
@@ -68,12 +76,16 @@
     TeamName team;
     Labels labels;
     std::string serviceSelector;
+
+    friend bool operator==(const ProxySpec &, const ProxySpec &) = default;
 };
 
 struct TeamSpec
 {
     TeamName name;
     std::uint32_t weight = 1; ///< share in the fair queues
+
+    friend bool operator==(const TeamSpec &, const TeamSpec &) = default;
 };
 
 /// Primary and term history of a service; written by promotion, ordered by term.
@@ -83,6 +95,8 @@
     Term term;
     EndpointId primary;
     std::vector<TermStart> history;
+
+    friend bool operator==(const ServiceStatus &, const ServiceStatus &) = default;
 };
 
 } // namespace pistachiowood
