Add statement execution: reads and writes across endpoints and owners

Cause: outcomes must be true whatever fails between caller and endpoint. A read is delivered only when its own report satisfies the session and a majority holds it; a write is retried only when that is safe, and an open outcome is settled through its request id. Ruled out: marking every lost answer unknown; resolve turns it into committed or not run. Builds; not yet run with processes.

--- a/include/pistachiowood/statement.h
+++ b/include/pistachiowood/statement.h
@@ -52,6 +52,7 @@
     std::string result; ///< JSON text of the endpoint's result
     std::optional<SessionToken> session;
     EndpointId endpoint;
+    RequestId requestId; ///< writes: the id under which the outcome can be resolved
     bool fromReplica = false;
     Milliseconds age{0}; ///< upper bound on the age of the data that a read returned
     std::optional<Error> error; ///< reason when the outcome is not Committed
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -38,7 +38,7 @@
 };
 
 /// Why an endpoint refused a statement; none of them executes it.
-enum class Refusal {
+enum class EndpointRefusal {
     None,
     StaleTerm,
     NewerTermRequired,
@@ -61,7 +61,7 @@
         false; ///< the request id had been executed before; the result is the first one
     bool resolvedCommitted = false; ///< Resolve: the request id is in the log
     std::optional<TransactionId> transaction; ///< Begin: the new transaction
-    Refusal refusal = Refusal::None;
+    EndpointRefusal refusal = EndpointRefusal::None;
     Error error; ///< reason unless Executed and durable
 };
 
--- a/src/endpoints/endpoint_protocol.cpp
+++ b/src/endpoints/endpoint_protocol.cpp
@@ -16,23 +16,23 @@
 constexpr unsigned statusOk = 200;
 constexpr std::size_t maxHistoryInAnswer = 4 * maxTermHistory;
 
-constexpr std::array<std::pair<std::string_view, Refusal>, 7> refusalCodes{{
-    {"stale_term", Refusal::StaleTerm},
-    {"newer_term_required", Refusal::NewerTermRequired},
-    {"not_primary", Refusal::NotPrimary},
-    {"too_many_connections", Refusal::TooManyConnections},
-    {"refused_request", Refusal::RefusedRequest},
-    {"transaction_lost", Refusal::TransactionLost},
-    {"invalid_argument", Refusal::InvalidStatement},
+constexpr std::array<std::pair<std::string_view, EndpointRefusal>, 7> refusalCodes{{
+    {"stale_term", EndpointRefusal::StaleTerm},
+    {"newer_term_required", EndpointRefusal::NewerTermRequired},
+    {"not_primary", EndpointRefusal::NotPrimary},
+    {"too_many_connections", EndpointRefusal::TooManyConnections},
+    {"refused_request", EndpointRefusal::RefusedRequest},
+    {"transaction_lost", EndpointRefusal::TransactionLost},
+    {"invalid_argument", EndpointRefusal::InvalidStatement},
 }};
 
-Refusal refusalOf(std::string_view code)
+EndpointRefusal refusalOf(std::string_view code)
 {
     for (const auto &[name, refusal] : refusalCodes) {
         if (name == code)
             return refusal;
     }
-    return Refusal::Other;
+    return EndpointRefusal::Other;
 }
 
 HttpRequest post(std::string target, const json::object &body)
@@ -114,16 +114,16 @@
     return answer;
 }
 
-ErrorCode errorCodeOf(Refusal refusal)
+ErrorCode errorCodeOf(EndpointRefusal refusal)
 {
     switch (refusal) {
-    case Refusal::StaleTerm:
-    case Refusal::NewerTermRequired:
-    case Refusal::NotPrimary:
+    case EndpointRefusal::StaleTerm:
+    case EndpointRefusal::NewerTermRequired:
+    case EndpointRefusal::NotPrimary:
         return ErrorCode::StateStale;
-    case Refusal::InvalidStatement:
+    case EndpointRefusal::InvalidStatement:
         return ErrorCode::InvalidArgument;
-    case Refusal::RefusedRequest:
+    case EndpointRefusal::RefusedRequest:
         return ErrorCode::Conflict;
     default:
         return ErrorCode::Unavailable;
@@ -196,7 +196,7 @@
         answer.error = readError(body);
         answer.error.code = errorCodeOf(answer.refusal);
         // An error that does not promise "not executed" leaves a write open.
-        if (answer.refusal == Refusal::Other && request.kind == StatementKind::Write)
+        if (answer.refusal == EndpointRefusal::Other && request.kind == StatementKind::Write)
             answer.state = AttemptState::Uncertain;
         const auto report = capture([&] { return readReport(body); });
         if (const auto *known = std::get_if<EndpointReport>(&report))
--- a/src/rpc/traffic_rpc.cpp
+++ b/src/rpc/traffic_rpc.cpp
@@ -102,7 +102,7 @@
     answer.resolvedCommitted = reader.getResolvedCommitted();
     if (reader.getTransaction().size() > 0)
         answer.transaction = TransactionId(plain(reader.getTransaction()));
-    answer.refusal = decodeEnum(reader.getRefusal(), Refusal::Other);
+    answer.refusal = decodeEnum(reader.getRefusal(), EndpointRefusal::Other);
     answer.error = {decodeEnum(reader.getErrorCode(), ErrorCode::Internal),
                     plain(reader.getErrorMessage())};
     return answer;
--- /dev/null
+++ b/src/statements/endpoint_work.cpp
@@ -0,0 +1,189 @@
+#include "statements/endpoint_work.h"
+
+#include "base/log.h"
+#include "endpoints/endpoint_protocol.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+// Opening a connection costs about 12 ms; a slow endpoint may take many times that.
+constexpr Milliseconds connectTimeout{500};
+constexpr Milliseconds shortestTimeout{1};
+
+bool opensTransaction(const AttemptRequest &request)
+{
+    return request.operation == AttemptOperation::Begin;
+}
+
+} // namespace
+
+EndpointWork::EndpointWork(EventLoop &loop, const Clock &clock, EndpointSpec spec,
+                           const PoolLimits &limits)
+    : loop_(loop)
+    , clock_(clock)
+    , spec_(std::move(spec))
+    , pool_(limits, clock, spec_.id)
+{
+}
+
+void EndpointWork::setSpec(const EndpointSpec &spec, const PoolLimits &limits)
+{
+    spec_ = spec;
+    pool_.setLimits(limits);
+    pool_.setDraining(spec.leaving);
+    runCommands();
+}
+
+Ticket EndpointWork::addPending(const AttemptRequest &request, Callback callback)
+{
+    const Ticket ticket(++lastTicket_);
+    pending_.emplace(ticket,
+                     Pending{request, clock_.now() + request.remaining, std::move(callback)});
+    return ticket;
+}
+
+void EndpointWork::submit(const AttemptRequest &request, const TeamName &team,
+                          std::uint32_t teamWeight, Callback callback)
+{
+    const Ticket ticket = addPending(request, std::move(callback));
+    pool_.submit({ticket, team, teamWeight, request.fairnessKey, clock_.now() + request.remaining,
+                  opensTransaction(request)});
+    runCommands();
+}
+
+void EndpointWork::submitPinned(ConnectionId connection, const AttemptRequest &request,
+                                Callback callback)
+{
+    const Ticket ticket = addPending(request, std::move(callback));
+    pool_.submitPinned(connection, ticket, clock_.now() + request.remaining);
+    runCommands();
+}
+
+void EndpointWork::tick()
+{
+    pool_.tick();
+    runCommands();
+}
+
+void EndpointWork::runCommands()
+{
+    // A command may complete at once and submit more work; the outermost call runs it all.
+    if (std::exchange(running_, true))
+        return;
+    const auto self = shared_from_this();
+    for (auto commands = pool_.takeCommands(); !commands.empty(); commands = pool_.takeCommands()) {
+        for (const PoolCommand &command : commands)
+            std::visit([this](const auto &typed) { handle(typed); }, command);
+    }
+    running_ = false;
+}
+
+void EndpointWork::handle(const OpenConnection &command)
+{
+    auto connection = std::make_unique<HttpConnection>(loop_, spec_.address);
+    const ConnectionId id = command.id;
+    connection->setCloseHandler([weak = weak_from_this(), id] {
+        if (const auto self = weak.lock()) {
+            self->connections_.erase(id);
+            self->pool_.handleConnectionClosed(id);
+            if (self->expiryHandler_)
+                self->expiryHandler_(id);
+            self->runCommands();
+        }
+    });
+    connection->connect(connectTimeout,
+                        [weak = weak_from_this(), id](const std::optional<HttpFailure> &failure) {
+                            const auto self = weak.lock();
+                            if (!self)
+                                return;
+                            if (failure)
+                                self->pool_.handleConnectFailed(id, failure->message);
+                            else
+                                self->pool_.handleConnected(id);
+                            self->runCommands();
+                        });
+    connections_.emplace(id, std::move(connection));
+}
+
+void EndpointWork::handle(const CloseConnection &command)
+{
+    // Deferred: the connection may be inside one of its own callbacks.
+    if (auto node = connections_.extract(command.id)) {
+        node.mapped()->close();
+        loop_.post([closed = std::shared_ptr<HttpConnection>(std::move(node.mapped()))] {});
+    }
+    if (expiryHandler_)
+        expiryHandler_(command.id);
+}
+
+void EndpointWork::handle(const Start &command)
+{
+    const auto pending = pending_.find(command.ticket);
+    const auto connection = connections_.find(command.id);
+    checkInvariant(pending != pending_.end() && connection != connections_.end(),
+                   Event::InvariantBroken,
+                   {{"reason", "the pool started work on an unknown connection"}});
+    const Milliseconds remaining =
+        std::chrono::duration_cast<Milliseconds>(pending->second.deadline - clock_.now());
+    connection->second->send(encodeAttempt(pending->second.request),
+                             std::max(remaining, shortestTimeout),
+                             [weak = weak_from_this(), command](const HttpOutcome &outcome) {
+                                 if (const auto self = weak.lock())
+                                     self->handleOutcome(command.ticket, command.id, outcome);
+                             });
+}
+
+void EndpointWork::handle(const Reject &command)
+{
+    if (auto node = pending_.extract(command.ticket)) {
+        AttemptAnswer answer;
+        answer.error = command.error;
+        node.mapped().callback(std::move(answer), {});
+    }
+}
+
+void EndpointWork::handle(const TransactionExpired &command)
+{
+    if (expiryHandler_)
+        expiryHandler_(command.id);
+}
+
+void EndpointWork::handleOutcome(Ticket ticket, ConnectionId id, const HttpOutcome &outcome)
+{
+    auto node = pending_.extract(ticket);
+    if (!node)
+        return;
+    const Pending &pending = node.mapped();
+    AttemptAnswer answer = decodeAttempt(pending.request, outcome);
+    pool_.finish(id, chooseFinish(pending.request, answer));
+    pending.callback(std::move(answer), id);
+    runCommands();
+}
+
+Finish EndpointWork::chooseFinish(const AttemptRequest &request, const AttemptAnswer &answer) const
+{
+    const bool refusedConnection = answer.refusal == EndpointRefusal::TooManyConnections;
+    const bool isUsable =
+        answer.state == AttemptState::Executed
+        || (answer.state == AttemptState::NotExecuted && answer.refusal != EndpointRefusal::None);
+    if (!isUsable || refusedConnection)
+        return Finish::Discard;
+    const bool inTransaction =
+        request.transaction && request.operation == AttemptOperation::Statement;
+    if (inTransaction)
+        return answer.refusal == EndpointRefusal::TransactionLost ? Finish::Discard
+                                                                  : Finish::KeepPinned;
+    if (opensTransaction(request))
+        return answer.state == AttemptState::Executed ? Finish::KeepPinned : Finish::Reusable;
+    // A transaction that did not end cleanly must not leave its state to the next user.
+    const bool endsTransaction = request.operation == AttemptOperation::Commit
+                                 || request.operation == AttemptOperation::Rollback;
+    return endsTransaction && answer.state != AttemptState::Executed ? Finish::Discard
+                                                                     : Finish::Reusable;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/statements/endpoint_work.h
@@ -0,0 +1,66 @@
+#ifndef PISTACHIOWOOD_STATEMENTS_ENDPOINT_WORK_H
+#define PISTACHIOWOOD_STATEMENTS_ENDPOINT_WORK_H
+
+#include "configuration/objects.h"
+#include "endpoints/attempt.h"
+#include "net/http.h"
+#include "pools/endpoint_pool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace pistachiowood {
+
+/// Connections of one endpoint, driven by its pool.
+class EndpointWork : public std::enable_shared_from_this<EndpointWork>
+{
+public:
+    /// Called with the endpoint's answer and the connection it came on.
+    using Callback = std::function<void(AttemptAnswer, ConnectionId)>;
+    using ExpiryHandler = std::function<void(ConnectionId)>;
+
+    EndpointWork(EventLoop &loop, const Clock &clock, EndpointSpec spec, const PoolLimits &limits);
+
+    void setSpec(const EndpointSpec &spec, const PoolLimits &limits);
+    /// Called when a transaction's connection has gone away.
+    void setExpiryHandler(ExpiryHandler handler) { expiryHandler_ = std::move(handler); }
+
+    void submit(const AttemptRequest &request, const TeamName &team, std::uint32_t teamWeight,
+                Callback callback);
+    void submitPinned(ConnectionId connection, const AttemptRequest &request, Callback callback);
+    void tick();
+    PoolStats stats() const { return pool_.stats(); }
+
+private:
+    struct Pending
+    {
+        AttemptRequest request;
+        TimePoint deadline;
+        Callback callback;
+    };
+
+    void runCommands();
+    void handle(const OpenConnection &command);
+    void handle(const CloseConnection &command);
+    void handle(const Start &command);
+    void handle(const Reject &command);
+    void handle(const TransactionExpired &command);
+    void handleOutcome(Ticket ticket, ConnectionId id, const HttpOutcome &outcome);
+    Finish chooseFinish(const AttemptRequest &request, const AttemptAnswer &answer) const;
+    Ticket addPending(const AttemptRequest &request, Callback callback);
+
+    EventLoop &loop_;
+    const Clock &clock_;
+    EndpointSpec spec_;
+    EndpointPool pool_;
+    std::map<ConnectionId, std::unique_ptr<HttpConnection>> connections_;
+    std::map<Ticket, Pending> pending_;
+    ExpiryHandler expiryHandler_;
+    std::uint64_t lastTicket_ = 0;
+    bool running_ = false;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/statements/read_execution.cpp
@@ -0,0 +1,201 @@
+#include "statements/read_execution.h"
+
+#include "configuration/selector.h"
+
+#include <algorithm>
+
+namespace pistachiowood {
+
+namespace {
+
+// While other endpoints remain, one attempt may use this share of the remaining time, so that a
+// silent endpoint leaves time for the next one.
+constexpr int attemptShareDivisor = 2;
+constexpr Milliseconds shortestAttempt{20};
+
+} // namespace
+
+ReadExecution::ReadExecution(StatementRouter &router, StatementRequest request,
+                             StatementRouter::Callback callback)
+    : router_(router)
+    , request_(std::move(request))
+    , callback_(std::move(callback))
+    , deadline_(router.clock_.now() + request_.remaining)
+{
+    ++router_.running_;
+}
+
+void ReadExecution::start()
+{
+    router_.budgetOf(request_.service).recordRequest();
+    router_.transport_.startTimer(request_.remaining, [self = shared_from_this()] {
+        self->refuse(self->lastError_.value_or(
+            Error{ErrorCode::DeadlineExceeded, "no endpoint answered before the deadline"}));
+    });
+    step();
+}
+
+Milliseconds ReadExecution::remaining() const
+{
+    return std::chrono::duration_cast<Milliseconds>(deadline_ - router_.clock_.now());
+}
+
+void ReadExecution::step()
+{
+    if (done_)
+        return;
+    const auto routes = router_.findRoutes(request_.service);
+    if (!routes) {
+        refuse(
+            {ErrorCode::NotFound, "service \"" + request_.service.value() + "\" does not exist"});
+        return;
+    }
+    if (!buildRequirement(*routes))
+        return;
+    const auto endpoint = chooseEndpoint(*routes);
+    if (!endpoint) {
+        retryLater();
+        return;
+    }
+    attempt(*routes, *endpoint);
+}
+
+// Sets the requirement; false when the read was refused or waits for newer status.
+bool ReadExecution::buildRequirement(const ServiceRoutes &routes)
+{
+    requirement_.term = routes.term;
+    requirement_.maxAge = request_.maxAge.value_or(
+        routes.spec.readRules.empty() ? router_.settings_.defaultMaxAge
+                                      : routes.spec.readRules.front().defaultMaxAge);
+    if (!request_.session)
+        return true;
+    const auto required =
+        capture([&] { return routes.history.requiredPosition(*request_.session); });
+    if (const auto *position = std::get_if<LogPosition>(&required)) {
+        requirement_.minPosition = *position;
+        return true;
+    }
+    const Error &error = std::get<Error>(required);
+    if (error.code == ErrorCode::StateStale) {
+        lastError_ = error;
+        router_.transport_.requestStatus(request_.service);
+        retryLater();
+    } else {
+        refuse(error);
+    }
+    return false;
+}
+
+std::optional<EndpointId> ReadExecution::chooseEndpoint(const ServiceRoutes &routes) const
+{
+    std::vector<ReadCandidate> candidates;
+    for (const EndpointRoute &route : routes.endpoints) {
+        const bool isPrimary = route.spec.id == routes.primary;
+        if (!route.spec.leaving && !tried_.contains(route.spec.id))
+            candidates.push_back({route.spec.id, route.spec.zone, route.spec.region, isPrimary});
+    }
+    const auto ranked = router_.reads_.rank(candidates, requirement_, router_.locality_);
+    return ranked.empty() ? std::nullopt : std::optional(ranked.front());
+}
+
+void ReadExecution::attempt(const ServiceRoutes &routes, const EndpointId &endpoint)
+{
+    const EndpointRoute *route = routes.findEndpoint(endpoint);
+    tried_.insert(endpoint);
+    const bool isLast = tried_.size() == routes.endpoints.size();
+    AttemptRequest attempt;
+    attempt.service = request_.service;
+    attempt.endpoint = endpoint;
+    attempt.term = routes.term;
+    attempt.statement = request_.statement;
+    attempt.fairnessKey = request_.fairnessKey;
+    attempt.remaining =
+        isLast ? remaining() : std::max(remaining() / attemptShareDivisor, shortestAttempt);
+    attempt.minPosition = requirement_.minPosition;
+    attempt.maxAge = requirement_.maxAge;
+    const bool fromPrimary = endpoint == routes.primary;
+    router_.transport_.execute(
+        *route, attempt, [self = shared_from_this(), endpoint, fromPrimary](AttemptAnswer answer) {
+            self->handleAnswer(endpoint, fromPrimary, std::move(answer));
+        });
+}
+
+void ReadExecution::handleAnswer(const EndpointId &endpoint, bool fromPrimary, AttemptAnswer answer)
+{
+    if (done_)
+        return;
+    if (answer.state != AttemptState::Executed) {
+        lastError_ = answer.error;
+        if (answer.refusal == EndpointRefusal::InvalidStatement) {
+            refuse(answer.error);
+            return;
+        }
+        if (answer.error.code == ErrorCode::StateStale)
+            router_.transport_.requestStatus(request_.service);
+        else if (!fromPrimary)
+            router_.reads_.recordFailure(endpoint);
+        step();
+        return;
+    }
+    router_.reads_.observe(endpoint, answer.report);
+    // The snapshot of the answer counts, not what the endpoint received since.
+    EndpointReport snapshot = answer.report;
+    snapshot.position = answer.entryPosition;
+    const AnswerVerdict verdict = checkReadAnswer(requirement_, snapshot);
+    if (!fromPrimary)
+        router_.reads_.recordVerdict(endpoint, verdict);
+    if (verdict == AnswerVerdict::Deliver && answer.durable) {
+        answer.report.role = fromPrimary ? EndpointRole::Primary : EndpointRole::Replica;
+        deliver(endpoint, answer);
+        return;
+    }
+    lastError_ =
+        Error{ErrorCode::Unavailable, "no endpoint has data that is new enough for this read"};
+    step();
+}
+
+void ReadExecution::retryLater()
+{
+    if (done_)
+        return;
+    const auto backoff =
+        drawBackoff(rounds_++, router_.settings_.retries, router_.random_) + Milliseconds(1);
+    if (!router_.budgetOf(request_.service).take()) {
+        refuse(lastError_.value_or(Error{ErrorCode::Unavailable,
+                                         "no endpoint is available; the retry budget is used up"}));
+        return;
+    }
+    tried_.clear();
+    router_.transport_.startTimer(backoff, [self = shared_from_this()] { self->step(); });
+}
+
+void ReadExecution::deliver(const EndpointId &endpoint, const AttemptAnswer &attempt)
+{
+    StatementAnswer answer;
+    answer.outcome = Outcome::Committed;
+    answer.result = attempt.result;
+    answer.endpoint = endpoint;
+    answer.fromReplica = attempt.report.role == EndpointRole::Replica;
+    answer.age = attempt.report.age;
+    answer.session = SessionToken{request_.service, attempt.report.term,
+                                  std::max(attempt.entryPosition, requirement_.minPosition)};
+    finish(std::move(answer));
+}
+
+void ReadExecution::refuse(Error error)
+{
+    StatementAnswer answer;
+    answer.outcome = Outcome::NotRun;
+    answer.error = std::move(error);
+    finish(std::move(answer));
+}
+
+void ReadExecution::finish(StatementAnswer answer)
+{
+    if (std::exchange(done_, true))
+        return;
+    --router_.running_;
+    callback_(std::move(answer));
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/statements/read_execution.h
@@ -0,0 +1,44 @@
+#ifndef PISTACHIOWOOD_STATEMENTS_READ_EXECUTION_H
+#define PISTACHIOWOOD_STATEMENTS_READ_EXECUTION_H
+
+#include "statements/statement_router.h"
+
+#include <memory>
+#include <set>
+
+namespace pistachiowood {
+
+/// One read: tries endpoints in the router's order until an answer satisfies the session.
+class ReadExecution : public std::enable_shared_from_this<ReadExecution>
+{
+public:
+    ReadExecution(StatementRouter &router, StatementRequest request,
+                  StatementRouter::Callback callback);
+    void start();
+
+private:
+    void step();
+    void retryLater();
+    bool buildRequirement(const ServiceRoutes &routes);
+    std::optional<EndpointId> chooseEndpoint(const ServiceRoutes &routes) const;
+    void attempt(const ServiceRoutes &routes, const EndpointId &endpoint);
+    void handleAnswer(const EndpointId &endpoint, bool fromPrimary, AttemptAnswer answer);
+    void deliver(const EndpointId &endpoint, const AttemptAnswer &answer);
+    void refuse(Error error);
+    void finish(StatementAnswer answer);
+    Milliseconds remaining() const;
+
+    StatementRouter &router_;
+    StatementRequest request_;
+    StatementRouter::Callback callback_;
+    TimePoint deadline_;
+    ReadRequirement requirement_;
+    std::set<EndpointId> tried_;
+    unsigned rounds_ = 0;
+    std::optional<Error> lastError_;
+    bool done_ = false;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/statements/write_execution.h
@@ -0,0 +1,52 @@
+#ifndef PISTACHIOWOOD_STATEMENTS_WRITE_EXECUTION_H
+#define PISTACHIOWOOD_STATEMENTS_WRITE_EXECUTION_H
+
+#include "statements/statement_router.h"
+
+#include <memory>
+
+namespace pistachiowood {
+
+/// One write, transaction step or resolve: sent to the primary, retried only where that is safe,
+/// and settled through the request id when the outcome stays open.
+class WriteExecution : public std::enable_shared_from_this<WriteExecution>
+{
+public:
+    WriteExecution(StatementRouter &router, AttemptOperation operation, StatementRequest request,
+                   StatementRouter::Callback callback);
+    void setCallback(StatementRouter::Callback callback) { callback_ = std::move(callback); }
+    /// Set before the callback when a transaction was begun.
+    std::shared_ptr<std::optional<TransactionId>> begunTransaction() const { return begun_; }
+    void start();
+
+private:
+    void step();
+    void attempt(const ServiceRoutes &routes);
+    AttemptRequest buildAttempt(const ServiceRoutes &routes) const;
+    void handleAnswer(AttemptAnswer answer);
+    void handleFailure(const AttemptAnswer &answer);
+    void handleExecuted(const AttemptAnswer &answer);
+    bool canResolve() const;
+    void beginResolve(Error reason);
+    void retryLater(Milliseconds backoff);
+    void finishAtDeadline();
+    void finish(Outcome outcome, std::optional<Error> error, const AttemptAnswer *answer = nullptr);
+    Milliseconds remaining() const;
+
+    StatementRouter &router_;
+    AttemptOperation operation_;
+    StatementRequest request_;
+    StatementRouter::Callback callback_;
+    std::shared_ptr<std::optional<TransactionId>> begun_;
+    TimePoint deadline_;
+    unsigned retries_ = 0;
+    bool resolving_ = false; ///< an earlier attempt may have been executed
+    bool outstanding_ = false; ///< an attempt is with the owner
+    bool earlierUnknown_ = false;
+    std::optional<Error> lastError_;
+    bool done_ = false;
+};
+
+} // namespace pistachiowood
+
+#endif
