--- /dev/null
+++ b/src/pools/endpoint_pool_test.cpp
@@ -0,0 +1,352 @@
+#include "pools/endpoint_pool.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EndpointPool)
+{
+    ManualClock clock;
+    PoolLimits limits{.slots = 2, .maxConnections = 8};
+    EndpointPool pool{limits, clock};
+    std::uint64_t lastTicket = 0;
+    std::vector<ConnectionId> opened, closed, expired;
+    std::map<Ticket, ConnectionId> started;
+    std::map<Ticket, ErrorCode> rejected;
+
+    /// Reads the commands; lets every connect succeed if asked to.
+    void pump(bool connect = true)
+    {
+        for (auto commands = pool.takeCommands(); !commands.empty();
+             commands = pool.takeCommands()) {
+            for (const PoolCommand &command : commands) {
+                if (const auto *open = std::get_if<OpenConnection>(&command)) {
+                    opened.push_back(open->id);
+                    if (connect)
+                        pool.handleConnected(open->id);
+                } else if (const auto *close = std::get_if<CloseConnection>(&command)) {
+                    closed.push_back(close->id);
+                } else if (const auto *start = std::get_if<Start>(&command)) {
+                    started[start->ticket] = start->id;
+                } else if (const auto *reject = std::get_if<Reject>(&command)) {
+                    rejected[reject->ticket] = reject->error.code;
+                } else {
+                    expired.push_back(std::get<TransactionExpired>(command).id);
+                }
+            }
+        }
+    }
+    Ticket submit(bool forTransaction = false, Milliseconds remaining = 60000ms)
+    {
+        const Ticket ticket(++lastTicket);
+        pool.submit({ticket, TeamName("t"), 1, "s", clock.now() + remaining, forTransaction});
+        return ticket;
+    }
+    Ticket submitPinned(ConnectionId id)
+    {
+        const Ticket ticket(++lastTicket);
+        pool.submitPinned(id, ticket, clock.now() + 60000ms);
+        return ticket;
+    }
+    /// Starts a transaction and returns its connection.
+    ConnectionId beginTransaction()
+    {
+        const Ticket ticket = submit(true);
+        pump();
+        CHECK_TRUE(started.contains(ticket));
+        pool.finish(started[ticket], Finish::KeepPinned);
+        return started[ticket];
+    }
+    void wait(Milliseconds time)
+    {
+        clock.advance(time);
+        pool.tick();
+    }
+    void failConnects()
+    {
+        pump(false);
+        for (const ConnectionId id : std::exchange(opened, {}))
+            pool.handleConnectFailed(id, "refused");
+    }
+};
+
+// Guards against more statements than the endpoint has slots, and against cold connections.
+TEST(EndpointPool, runsAsManyStatementsAsSlotsOnWarmConnections)
+{
+    submit();
+    pump();
+    LONGS_EQUAL(2, opened.size());
+    submit();
+    submit();
+    pump();
+    LONGS_EQUAL(2, started.size());
+    pool.finish(started[Ticket(1)], Finish::Reusable);
+    pump();
+    LONGS_EQUAL(3, started.size());
+    LONGS_EQUAL(2, opened.size());
+}
+
+// Guards against a late event that ends the work of the connection's next user.
+TEST(EndpointPool, eventsOfOldGenerationsAreIgnored)
+{
+    submit();
+    pump();
+    const ConnectionId old = started[Ticket(1)];
+    pool.finish(old, Finish::Discard);
+    clock.advance(limits.connectBackoff);
+    pool.tick();
+    submit();
+    submit();
+    pump();
+    LONGS_EQUAL(3, started.size());
+    pool.finish(old, Finish::Reusable);
+    pool.handleConnectionClosed(old);
+    LONGS_EQUAL(2, pool.stats().running);
+    LONGS_EQUAL(2, pool.stats().staleEvents);
+    CHECK_TRUE(closed == std::vector{old});
+    for (const Ticket ticket : {Ticket(2), Ticket(3)})
+        CHECK_TRUE(started[ticket].generation != old.generation);
+}
+
+// Guards against a response to a cancelled statement that reaches the next caller.
+TEST(EndpointPool, cancelDiscardsConnectionOfRunningStatement)
+{
+    const Ticket running = submit();
+    pump();
+    submit();
+    const Ticket unsent = Ticket(lastTicket);
+    pool.cancel(unsent);
+    pump();
+    CHECK_FALSE(started.contains(unsent));
+    CHECK_TRUE(closed.empty());
+    pool.cancel(running);
+    pump();
+    CHECK_TRUE(closed == std::vector{started[running]});
+}
+
+// Guards against a Start on a connection that the pool has already given up.
+TEST(EndpointPool, startOnLostConnectionBecomesRejection)
+{
+    submit();
+    pump();
+    const Ticket ticket = submit();
+    for (const ConnectionId id : opened)
+        pool.handleConnectionClosed(id);
+    pump(false);
+    CHECK_FALSE(started.contains(ticket));
+    CHECK_TRUE(rejected.at(ticket) == ErrorCode::Unavailable);
+}
+
+// Guards against lock holders that wait behind new work, and idle transactions that take slots.
+TEST(EndpointPool, transactionStatementsGoFirstAndIdleOnesTakeNoSlot)
+{
+    const ConnectionId transaction = beginTransaction();
+    submit();
+    submit();
+    pump();
+    LONGS_EQUAL(3, started.size());
+    const Ticket waiting = submit();
+    const Ticket next = submitPinned(transaction);
+    pool.finish(started[Ticket(2)], Finish::Reusable);
+    pump();
+    CHECK_TRUE(started.at(next) == transaction);
+    CHECK_FALSE(started.contains(waiting));
+    const Ticket second = submitPinned(transaction);
+    pump();
+    CHECK_TRUE(rejected.at(second) == ErrorCode::Conflict);
+}
+
+// Guards against transactions that hold every connection.
+TEST(EndpointPool, transactionsHoldAtMostTheirShare)
+{
+    std::vector<ConnectionId> held;
+    for (int i = 0; i < 4; ++i)
+        held.push_back(beginTransaction());
+    const Ticket fifth = submit(true);
+    const Ticket plain = submit();
+    pump();
+    CHECK_FALSE(started.contains(fifth));
+    CHECK_TRUE(started.contains(plain));
+    submitPinned(held[0]);
+    pump();
+    pool.finish(held[0], Finish::Reusable);
+    pump();
+    CHECK_TRUE(started.contains(fifth));
+}
+
+// Guards against an abandoned transaction that holds its locks and connection for ever.
+TEST(EndpointPool, idleTransactionExpires)
+{
+    const ConnectionId transaction = beginTransaction();
+    wait(limits.idleTransactionTimeout - 1ms);
+    pump();
+    CHECK_TRUE(expired.empty());
+    wait(1ms);
+    pump();
+    CHECK_TRUE(expired == std::vector{transaction} && closed == expired);
+    const Ticket late = submitPinned(transaction);
+    pump();
+    CHECK_TRUE(rejected.at(late) == ErrorCode::NotFound);
+}
+
+// Guards against connections that a peak of transactions leaves open.
+TEST(EndpointPool, idleSurplusIsClosedAndWarmConnectionsStay)
+{
+    std::vector<ConnectionId> held{beginTransaction(), beginTransaction()};
+    pump();
+    LONGS_EQUAL(4, opened.size());
+    for (const ConnectionId id : held) {
+        submitPinned(id);
+        pump();
+        pool.finish(id, Finish::Reusable);
+    }
+    wait(limits.idleConnectionTimeout - 1ms);
+    pump();
+    CHECK_TRUE(closed.empty());
+    wait(1ms);
+    pump();
+    LONGS_EQUAL(2, closed.size());
+    LONGS_EQUAL(2, pool.stats().idle);
+}
+
+// Guards against queues that build up before an endpoint that cannot be reached, against bursts
+// of connects to it, and against one bad moment that trips the breaker.
+TEST(EndpointPool, breakerOpensAfterThreeFailuresAndProbesOneByOne)
+{
+    const Ticket ticket = submit();
+    failConnects(); // both connects of the batch count once
+    clock.advance(limits.connectBackoff - 1ms);
+    pool.tick();
+    pump(false);
+    CHECK_TRUE(opened.empty());
+    wait(1ms);
+    failConnects();
+    CHECK_TRUE(rejected.empty());
+    wait(limits.connectBackoff);
+    pump(false);
+    CHECK_TRUE(opened.empty()); // the backoff has doubled
+    wait(limits.connectBackoff);
+    failConnects();
+    pump(false);
+    CHECK_TRUE(rejected.at(ticket) == ErrorCode::Unavailable);
+    const Ticket refused = submit();
+    pump(false);
+    CHECK_TRUE(rejected.at(refused) == ErrorCode::Unavailable);
+    for (int i = 0; i < 20; ++i) {
+        wait(limits.connectBackoffCap);
+        pump(false);
+        LONGS_EQUAL(1, opened.size());
+        failConnects();
+    }
+    wait(limits.connectBackoffCap);
+    pump();
+    const Ticket after = submit();
+    pump();
+    CHECK_TRUE(started.contains(after));
+    LONGS_EQUAL(1, pool.stats().idle);
+}
+
+// Guards against refusals during a short fault, and against connects that hang for ever.
+TEST(EndpointPool, queuedWorkWaitsThroughConnectTimeoutUntilDeadline)
+{
+    const Ticket brief = submit(false, 100ms);
+    const Ticket patient = submit();
+    pump(false);
+    wait(100ms);
+    pump(false);
+    CHECK_TRUE(rejected.at(brief) == ErrorCode::DeadlineExceeded);
+    wait(limits.connectTimeout);
+    wait(limits.connectBackoff);
+    pump();
+    LONGS_EQUAL(2, closed.size());
+    CHECK_TRUE(started.contains(patient));
+}
+
+// Guards against a tight loop of connects to an endpoint that closes them at once.
+TEST(EndpointPool, connectionsLostBeforeUseBackOff)
+{
+    submit();
+    pump();
+    for (const ConnectionId id : std::exchange(opened, {}))
+        pool.handleConnectionClosed(id);
+    pump();
+    CHECK_TRUE(opened.empty());
+    wait(limits.connectBackoff);
+    pump(false);
+    LONGS_EQUAL(1, opened.size());
+}
+
+// Guards against a drain that cuts transactions off, never ends or admits new work.
+TEST(EndpointPool, drainingRefusesNewWorkAndLetsTransactionsEnd)
+{
+    const ConnectionId first = beginTransaction();
+    const ConnectionId second = beginTransaction();
+    submit();
+    submit();
+    const Ticket queued = submit();
+    pump();
+    pool.setDraining(true);
+    const Ticket late = submit();
+    const Ticket next = submitPinned(first);
+    for (const Ticket running : {Ticket(3), Ticket(4)})
+        pool.finish(started.at(running), Finish::Reusable);
+    pump();
+    CHECK_TRUE(rejected.at(queued) == ErrorCode::Unavailable);
+    CHECK_TRUE(rejected.at(late) == ErrorCode::Unavailable);
+    CHECK_TRUE(started.contains(next));
+    LONGS_EQUAL(0, pool.stats().idle);
+    wait(limits.drainLimit);
+    pump();
+    CHECK_TRUE(expired == std::vector{second});
+    pool.finish(first, Finish::KeepPinned);
+    pump();
+    CHECK_TRUE(expired.back() == first);
+    pool.setDraining(false);
+    const Ticket again = submit();
+    pump();
+    CHECK_TRUE(started.contains(again));
+}
+
+// Guards against limits that change in the configuration only.
+TEST(EndpointPool, changedLimitsApplyAtOnce)
+{
+    for (int i = 0; i < 4; ++i)
+        submit();
+    pump();
+    limits.slots = 1;
+    limits.maxConnections = 1;
+    limits.queueLimit = 1;
+    pool.setLimits(limits);
+    pump();
+    LONGS_EQUAL(1, rejected.size());
+    pool.finish(started.at(Ticket(1)), Finish::Reusable);
+    pump();
+    LONGS_EQUAL(2, started.size());
+    LONGS_EQUAL(1, closed.size());
+    limits.slots = 3;
+    limits.maxConnections = 8;
+    pool.setLimits(limits);
+    pump();
+    LONGS_EQUAL(3, started.size());
+}
+
+// Guards against early refusal that ignores how long statements take.
+TEST(EndpointPool, measuredServiceTimeRefusesHopelessWork)
+{
+    submit();
+    pump();
+    clock.advance(100ms);
+    pool.finish(started.at(Ticket(1)), Finish::Reusable);
+    for (int i = 0; i < 4; ++i)
+        submit(); // two run, two wait
+    const Ticket hopeless = submit(false, 99ms);
+    const Ticket hopeful = submit(false, 101ms);
+    pump();
+    CHECK_TRUE(rejected.at(hopeless) == ErrorCode::Unavailable);
+    CHECK_FALSE(rejected.contains(hopeful));
+}
--- /dev/null
+++ b/src/writes/retry_policy_test.cpp
@@ -0,0 +1,106 @@
+#include "writes/retry_policy.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RetryPolicy)
+{
+    ManualClock clock;
+    FailedAttempt write{.kind = StatementKind::Write,
+                        .error = {ErrorCode::Unavailable, "connection refused"},
+                        .remaining = 100ms};
+
+    template <typename T>
+    bool decides(const FailedAttempt &attempt, bool budget = true)
+    {
+        return std::holds_alternative<T>(decideRetry(attempt, 10ms, budget));
+    }
+};
+
+// Guards against a write that runs twice and against a false "not run".
+TEST(RetryPolicy, nonIdempotentWriteIsNotSentAgain)
+{
+    CHECK_TRUE(decides<RetryNow>(write));
+    write.mayBeSent = true;
+    CHECK_TRUE(decides<AnswerUnknown>(write));
+    for (const RefusalCode refusal : {RefusalCode::StaleTerm, RefusalCode::NewerTermRequired,
+                                      RefusalCode::NotPrimary, RefusalCode::TooManyConnections,
+                                      RefusalCode::RefusedRequest, RefusalCode::TransactionLost}) {
+        write.refusal = refusal;
+        CHECK_TRUE(decides<AnswerNotRun>(write));
+    }
+}
+
+// Guards against a refusal of the last attempt that hides an earlier one that may have run.
+TEST(RetryPolicy, earlierUnknownAttemptKeepsOutcomeUnknown)
+{
+    write.idempotent = true;
+    write.mayBeSent = true;
+    CHECK_TRUE(decides<RetryNow>(write));
+    write.earlierUnknown = true;
+    write.refusal = RefusalCode::NotPrimary;
+    CHECK_TRUE(decides<RetryNow>(write));
+    CHECK_TRUE(decides<AnswerUnknown>(write, false));
+}
+
+// Guards against a statement that continues a transaction outside of it.
+TEST(RetryPolicy, statementInTransactionIsNotRetried)
+{
+    write.kind = StatementKind::Read;
+    CHECK_TRUE(decides<RetryNow>(write));
+    write.inTransaction = true;
+    CHECK_TRUE(decides<AnswerNotRun>(write));
+}
+
+// Guards against retries beyond the deadline or the budget and of errors that stay.
+TEST(RetryPolicy, retryNeedsTimeBudgetAndTransientError)
+{
+    CHECK_TRUE(decides<AnswerNotRun>(write, false));
+    write.remaining = 10ms;
+    CHECK_TRUE(decides<AnswerNotRun>(write));
+    write.remaining = 100ms;
+    write.error.code = ErrorCode::InvalidArgument;
+    CHECK_TRUE(decides<AnswerNotRun>(write));
+    write.error.code = ErrorCode::Unavailable;
+    write.idempotent = true;
+    write.refusal = RefusalCode::RefusedRequest;
+    CHECK_TRUE(decides<AnswerNotRun>(write));
+}
+
+// Guards against a fault that multiplies the load, and against a budget that never refills.
+TEST(RetryPolicy, budgetIsShareOfRequestsPlusMinimum)
+{
+    RetryBudget budget({.minimumPerSecond = 2, .burst = 20}, clock);
+    const auto drain = [&] {
+        int taken = 0;
+        while (budget.take())
+            ++taken;
+        return taken;
+    };
+    LONGS_EQUAL(2, drain());
+    for (int i = 0; i < 100; ++i)
+        budget.recordRequest();
+    LONGS_EQUAL(10, drain());
+    clock.advance(1500ms);
+    LONGS_EQUAL(3, drain());
+    clock.advance(Milliseconds(3600000));
+    LONGS_EQUAL(20, drain());
+}
+
+// Guards against retries in step and against unbounded delays.
+TEST(RetryPolicy, backoffIsJitteredAndCapped)
+{
+    SeededRandom random(7);
+    const RetryLimits limits{.firstBackoff = 8ms, .backoffCap = 100ms};
+    std::set<Milliseconds> first, late;
+    for (int i = 0; i < 2000; ++i) {
+        first.insert(drawBackoff(0, limits, random));
+        late.insert(drawBackoff(40, limits, random));
+    }
+    CHECK_TRUE(*first.begin() == 0ms && *first.rbegin() == 8ms);
+    CHECK_TRUE(*late.begin() == 0ms && *late.rbegin() == 100ms);
+}
--- /dev/null
+++ b/tests/property/durability_tracker_property.cpp
@@ -0,0 +1,117 @@
+#include "writes/durability_tracker.h"
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+using namespace pistachiowood;
+
+namespace {
+
+struct Seen
+{
+    EndpointId endpoint;
+    Term term;
+    LogPosition position;
+};
+
+/// Counts the members that hold the position according to every report ever made.
+bool isMajority(const std::vector<Seen> &reports, const std::vector<EndpointId> &members, Term term,
+                LogPosition position)
+{
+    std::size_t holders = 0;
+    for (const EndpointId &member : members) {
+        for (const Seen &seen : reports) {
+            // Any member's report implies that the primary, the first member, holds the position.
+            const bool counts = seen.endpoint == member || member == members.front();
+            if (counts && seen.term == term && seen.position >= position) {
+                ++holders;
+                break;
+            }
+        }
+    }
+    return holders > members.size() / 2;
+}
+
+} // namespace
+
+int main()
+{
+    // Guards against any difference from counting a majority of reports, and lost or doubled waits.
+    const bool ok = rc::check("tracker agrees with a naive count", [] {
+        ManualClock clock;
+        DurabilityTracker tracker(clock);
+        std::vector<EndpointId> members;
+        for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
+            members.emplace_back(std::to_string(i));
+        Term term(1);
+        LogPosition highest;
+        std::vector<Seen> reports;
+        std::map<Ticket, std::tuple<Term, LogPosition, TimePoint>> waits;
+        std::uint64_t lastTicket = 0;
+        tracker.setGroup(term, members.front(), members);
+
+        const auto takeResults = [&] {
+            for (const DurabilityResult &result : tracker.takeResults()) {
+                RC_ASSERT(waits.contains(result.ticket));
+                const auto [waitTerm, position, deadline] = waits[result.ticket];
+                waits.erase(result.ticket);
+                const bool durable = isMajority(reports, members, waitTerm, position);
+                RC_ASSERT(result.term == waitTerm);
+                RC_ASSERT(durable == (result.durability == Durability::Durable)
+                          || (waitTerm < term && result.durability == Durability::TermChanged));
+                if (result.durability == Durability::TermChanged)
+                    RC_ASSERT(waitTerm < term);
+                if (result.durability == Durability::Expired)
+                    RC_ASSERT(deadline <= clock.now());
+            }
+            for (const auto &[ticket, wait] : waits) {
+                const auto &[waitTerm, position, deadline] = wait;
+                RC_ASSERT(waitTerm >= term && deadline > clock.now());
+                RC_ASSERT(waitTerm > term || !isMajority(reports, members, term, position));
+            }
+        };
+        const int steps = *rc::gen::inRange(0, 100);
+        for (int i = 0; i < steps; ++i) {
+            const LogPosition position(*rc::gen::inRange<std::uint64_t>(1, 12));
+            const Term near(term.value() + *rc::gen::inRange<std::uint64_t>(0, 3) - 1);
+            switch (*rc::gen::inRange(0, 10)) {
+            case 0:
+                if (near >= term) {
+                    highest = near > term ? LogPosition() : highest;
+                    term = near;
+                }
+                tracker.setGroup(near, members.front(), members);
+                break;
+            case 1:
+            case 2:
+            case 3: {
+                const Ticket ticket(++lastTicket);
+                const TimePoint deadline = clock.now() + Milliseconds(*rc::gen::inRange(1, 50));
+                waits[ticket] = {near, position, deadline};
+                tracker.wait(ticket, near, position, deadline);
+                break;
+            }
+            case 4:
+                clock.advance(Milliseconds(*rc::gen::inRange(0, 20)));
+                break;
+            default: {
+                const EndpointId endpoint = *rc::gen::elementOf(members);
+                const Term entryTerm(near.value() - *rc::gen::inRange<std::uint64_t>(0, 2));
+                tracker.report(endpoint, {near, position, entryTerm});
+                if (near == term && entryTerm == term)
+                    reports.push_back({endpoint, near, position});
+            }
+            }
+            RC_ASSERT(tracker.durablePosition() >= highest);
+            highest = tracker.durablePosition();
+            RC_ASSERT(highest == LogPosition() || isMajority(reports, members, term, highest));
+            RC_ASSERT(!isMajority(reports, members, term, LogPosition(highest.value() + 1)));
+            takeResults();
+        }
+    });
+    return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/property/endpoint_pool_property.cpp
@@ -0,0 +1,226 @@
+#include "pools/endpoint_pool.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace pistachiowood;
+
+namespace {
+
+/// Obeys the pool's commands and checks each of them.
+struct Driver
+{
+    ManualClock clock;
+    PoolLimits limits;
+    EndpointPool pool{limits, clock};
+    std::uint64_t lastTicket = 0;
+    std::set<Ticket> waiting;
+    std::map<ConnectionId, std::optional<Ticket>> open; ///< connecting or connected, with its work
+    std::set<ConnectionId> connecting, transactions;
+    std::map<Ticket, bool> forTransaction;
+    std::set<ConnectionId> seen;
+
+    explicit Driver(const PoolLimits &poolLimits)
+        : limits(poolLimits)
+    {
+    }
+
+    void handle(const OpenConnection &command)
+    {
+        RC_ASSERT(seen.insert(command.id).second);
+        open[command.id] = std::nullopt;
+        connecting.insert(command.id);
+        RC_ASSERT(open.size() <= limits.maxConnections);
+    }
+    void handle(const CloseConnection &command)
+    {
+        RC_ASSERT(open.contains(command.id));
+        forget(command.id);
+    }
+    void handle(const Start &command)
+    {
+        RC_ASSERT(waiting.erase(command.ticket) == 1);
+        RC_ASSERT(open.contains(command.id) && !connecting.contains(command.id));
+        RC_ASSERT(!open[command.id]);
+        open[command.id] = command.ticket;
+        if (forTransaction[command.ticket])
+            transactions.insert(command.id);
+        RC_ASSERT(running().size() <= limits.slots);
+        RC_ASSERT(transactions.size() <= std::max(1U, limits.maxConnections / 2));
+    }
+    void handle(const Reject &command) { RC_ASSERT(waiting.erase(command.ticket) == 1); }
+    void handle(const TransactionExpired &command)
+    {
+        RC_ASSERT(transactions.contains(command.id) && !open[command.id]);
+    }
+    void forget(ConnectionId id)
+    {
+        open.erase(id);
+        connecting.erase(id);
+        transactions.erase(id);
+    }
+    void pump()
+    {
+        for (const PoolCommand &command : pool.takeCommands())
+            std::visit([this](const auto &value) { handle(value); }, command);
+    }
+    std::vector<ConnectionId> running() const
+    {
+        std::vector<ConnectionId> ids;
+        for (const auto &[id, ticket] : open) {
+            if (ticket)
+                ids.push_back(id);
+        }
+        return ids;
+    }
+    Ticket submit(const char *team, std::uint32_t weight, int session, Milliseconds remaining,
+                  bool transaction)
+    {
+        const Ticket ticket(++lastTicket);
+        waiting.insert(ticket);
+        forTransaction[ticket] = transaction;
+        pool.submit({ticket, TeamName(team), weight, std::to_string(session),
+                     clock.now() + remaining, transaction});
+        return ticket;
+    }
+    void finish(ConnectionId id, Finish how)
+    {
+        if (how == Finish::KeepPinned && !transactions.contains(id))
+            how = Finish::Reusable;
+        if (how == Finish::Reusable)
+            transactions.erase(id);
+        open[id].reset();
+        pool.finish(id, how);
+    }
+    void step();
+};
+
+template <typename T>
+ConnectionId pick(const T &ids)
+{
+    return *std::next(ids.begin(), *rc::gen::inRange<int>(0, static_cast<int>(ids.size())));
+}
+
+void Driver::step()
+{
+    const auto number = [](int bound) { return *rc::gen::inRange(0, bound); };
+    const auto active = running();
+    switch (number(12)) {
+    case 0:
+    case 1:
+    case 2:
+        submit(number(2) ? "a" : "b", number(4), number(3), Milliseconds(number(400)),
+               number(3) == 0);
+        break;
+    case 3:
+        if (!transactions.empty()) {
+            const Ticket ticket(++lastTicket);
+            waiting.insert(ticket);
+            forTransaction[ticket] = true;
+            pool.submitPinned(pick(transactions), ticket, clock.now() + Milliseconds(number(300)));
+        }
+        break;
+    case 4:
+        if (lastTicket > 0) {
+            const Ticket ticket(lastTicket - number(static_cast<int>(std::min(lastTicket, 9UL))));
+            pool.cancel(ticket);
+            waiting.erase(ticket);
+        }
+        break;
+    case 5:
+    case 6:
+        if (!connecting.empty()) {
+            const ConnectionId id = pick(connecting);
+            connecting.erase(id);
+            if (number(3) > 0) {
+                pool.handleConnected(id);
+            } else {
+                forget(id);
+                pool.handleConnectFailed(id, "refused");
+            }
+        }
+        break;
+    case 7:
+    case 8:
+        if (!active.empty())
+            finish(pick(active), static_cast<Finish>(number(3)));
+        break;
+    case 9:
+        if (!open.empty() && number(3) == 0) {
+            ConnectionId id = open.begin()->first;
+            forget(id);
+            pool.handleConnectionClosed(id);
+            id.generation = Generation(id.generation.value() - 1);
+            pool.finish(id, Finish::Reusable); // an event of an older use changes nothing
+        }
+        break;
+    case 10:
+        clock.advance(Milliseconds(number(10) == 0 ? 11000 : number(200)));
+        pool.tick();
+        break;
+    default:
+        if (number(4) == 0)
+            pool.setDraining(number(3) == 0);
+        break;
+    }
+    pump();
+}
+
+} // namespace
+
+int main()
+{
+    bool ok = true;
+
+    // Guards against lost or doubled tickets, exceeded slots, and reuse of given-up connections.
+    ok &= rc::check("each ticket starts or is rejected once on a valid connection", [] {
+        Driver driver({.slots = *rc::gen::inRange(1U, 4U),
+                       .maxConnections = *rc::gen::inRange(1U, 8U),
+                       .queueLimit = *rc::gen::inRange(0U, 8U)});
+        const int steps = *rc::gen::inRange(0, 150);
+        for (int i = 0; i < steps; ++i)
+            driver.step();
+        for (const ConnectionId id : driver.running())
+            driver.finish(id, Finish::Reusable);
+        driver.clock.advance(Milliseconds(1000));
+        driver.pool.tick();
+        driver.pump();
+        RC_ASSERT(driver.waiting.empty());
+        RC_ASSERT(driver.pool.stats().running == driver.running().size());
+    });
+
+    // Guards against a flow that others starve by sending more.
+    ok &= rc::check("a light flow starts within a bounded number of starts", [] {
+        const auto limit = *rc::gen::inRange(4U, 40U);
+        const auto weight = *rc::gen::inRange(1U, 6U);
+        Driver driver({.slots = 1, .maxConnections = 2, .queueLimit = limit});
+        const auto flood = [&] {
+            for (std::uint32_t i = 0; i < limit; ++i)
+                driver.submit("heavy", weight, *rc::gen::inRange(0, 3), Milliseconds(100000),
+                              false);
+        };
+        flood();
+        driver.pump();
+        for (const ConnectionId id : std::set(driver.connecting)) {
+            driver.connecting.erase(id);
+            driver.pool.handleConnected(id);
+        }
+        driver.pump();
+        const Ticket light = driver.submit("light", 1, 0, Milliseconds(100000), false);
+        std::uint32_t starts = 0;
+        while (driver.waiting.contains(light)) {
+            RC_ASSERT(starts++ <= 2 * weight + 1);
+            flood();
+            driver.clock.advance(Milliseconds(10));
+            driver.finish(driver.running().at(0), Finish::Reusable);
+            driver.pump();
+        }
+        const auto active = driver.running();
+        RC_ASSERT(driver.open[active.at(0)] == light);
+    });
+    return ok ? 0 : 1;
+}
