--- /dev/null
+++ b/src/configuration/change_tracker_test.cpp
@@ -0,0 +1,134 @@
+#include "configuration/change_tracker.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+
+namespace {
+
+const Error lost{ErrorCode::OutcomeUnknown, "answer lost"};
+const Error down{ErrorCode::Unavailable, "connection refused"};
+
+StoredObject object(std::uint64_t version, const std::string &operationId)
+{
+    return {ObjectKind::Team, "a", ResourceVersion(version), operationId, "{}"};
+}
+
+ChangeRequest change(std::uint64_t expected, bool remove = false)
+{
+    return {ObjectKind::Team, "a", ResourceVersion(expected), remove, "{}"};
+}
+
+} // namespace
+
+TEST_GROUP(ChangeTracker)
+{
+    SeededRandom random{3};
+    TimePoint now{std::chrono::hours(1)};
+
+    /// Ticks until the tracker issues a command of type T; returns false if it settles first.
+    template <typename T>
+    bool advanceTo(ChangeTracker & tracker, ChangeCommands commands)
+    {
+        while (!tracker.result()) {
+            for (const ChangeCommand &command : commands) {
+                if (std::holds_alternative<T>(command))
+                    return true;
+            }
+            now = std::get<ScheduleChange>(commands.back()).at;
+            commands = tracker.tick(now);
+        }
+        return false;
+    }
+};
+
+// Guards against a change that is reported as failed although it took effect.
+TEST(ChangeTracker, lostAnswerIsFoundByOperationId)
+{
+    ChangeTracker tracker(change(5), random);
+    tracker.start(now);
+    CHECK_TRUE(advanceTo<ReadObject>(tracker, tracker.handlePut(now, lost)));
+    tracker.handleRead(now, object(6, tracker.operationId()));
+    CHECK_EQUAL(6U, std::get<ChangeAccepted>(*tracker.result()).version.value());
+}
+
+// Guards against a loser that is told nothing definite although the other change proves the loss.
+TEST(ChangeTracker, otherChangeOfTheSameVersionProvesTheConflict)
+{
+    ChangeTracker tracker(change(5), random);
+    tracker.start(now);
+    CHECK_TRUE(advanceTo<ReadObject>(tracker, tracker.handlePut(now, lost)));
+    tracker.handleRead(now, object(6, makeOperationId(ResourceVersion(5), random)));
+    CHECK_EQUAL(6U, std::get<ChangeConflict>(*tracker.result()).current->value());
+}
+
+// Guards against a claim of conflict when the change may have been overwritten after it took
+// effect.
+TEST(ChangeTracker, laterChangeLeavesTheResultOpenUntilObserved)
+{
+    for (const bool observed : {false, true}) {
+        ChangeTracker tracker(change(5), random);
+        tracker.start(now);
+        CHECK_TRUE(advanceTo<ReadObject>(tracker, tracker.handlePut(now, lost)));
+        const auto commands =
+            tracker.handleRead(now, object(8, makeOperationId(ResourceVersion(6), random)));
+        if (observed)
+            tracker.handleObserved({false, object(6, tracker.operationId())});
+        CHECK_FALSE(advanceTo<PutObject>(tracker, commands));
+        CHECK_EQUAL(observed, std::holds_alternative<ChangeAccepted>(*tracker.result()));
+        CHECK_EQUAL(!observed, std::holds_alternative<ChangeUndetermined>(*tracker.result()));
+    }
+}
+
+// Guards against a second creation that brings back an object deleted in between.
+TEST(ChangeTracker, creationIsNotSentAgainAfterALostAnswer)
+{
+    ChangeTracker tracker(change(0), random);
+    tracker.start(now);
+    auto commands = tracker.handlePut(now, lost);
+    while (advanceTo<ReadObject>(tracker, commands))
+        commands = tracker.handleRead(now, std::optional<StoredObject>{});
+    CHECK_TRUE(std::holds_alternative<ChangeUndetermined>(*tracker.result()));
+}
+
+// Guards against an update that is given up although it can safely be sent again.
+TEST(ChangeTracker, updateIsSentAgainWhileTheVersionStands)
+{
+    ChangeTracker tracker(change(5), random);
+    tracker.start(now);
+    CHECK_TRUE(advanceTo<ReadObject>(tracker, tracker.handlePut(now, lost)));
+    CHECK_TRUE(advanceTo<PutObject>(tracker, tracker.handleRead(now, object(5, "4.x"))));
+    // The first copy arrived after the read, so the second one meets a conflict.
+    CHECK_TRUE(advanceTo<ReadObject>(
+        tracker, tracker.handlePut(now, Error{ErrorCode::Conflict, "conflict"})));
+    tracker.handleRead(now, object(6, tracker.operationId()));
+    CHECK_TRUE(std::holds_alternative<ChangeAccepted>(*tracker.result()));
+}
+
+// Guards against an unclear report while the platform was never reached, or a false "refused" when
+// the change may have reached it.
+TEST(ChangeTracker, outageIsReportedAsWhatItIs)
+{
+    for (const Error &error : {down, lost}) {
+        ChangeTracker tracker(change(5), random);
+        tracker.start(now);
+        auto commands = tracker.handlePut(now, error);
+        while (advanceTo<ReadObject>(tracker, commands))
+            commands = tracker.handleRead(now, down);
+        CHECK_EQUAL(error.code == ErrorCode::Unavailable,
+                    std::holds_alternative<ChangeRefused>(*tracker.result()));
+        CHECK_EQUAL(error.code == ErrorCode::OutcomeUnknown,
+                    std::holds_alternative<ChangeUndetermined>(*tracker.result()));
+    }
+}
+
+// Guards against a removal without a condition.
+TEST(ChangeTracker, removalNeedsAVersion)
+{
+    ChangeTracker tracker(change(0, true), random);
+    CHECK_TRUE(tracker.start(now).empty());
+    CHECK_TRUE(std::holds_alternative<ChangeRefused>(*tracker.result()));
+}
