--- /dev/null
+++ b/src/configuration/platform_client.cpp
@@ -0,0 +1,276 @@
+#include "configuration/platform_client.h"
+
+#include "base/json.h"
+
+#include <map>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusGone = 410;
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned firstServerError = 500;
+
+ErrorCode codeOf(unsigned status)
+{
+    switch (status) {
+    case statusNotFound:
+        return ErrorCode::NotFound;
+    case statusConflict:
+        return ErrorCode::Conflict;
+    case statusGone:
+        return ErrorCode::VersionTooOld;
+    case statusTooManyRequests:
+        return ErrorCode::Unavailable;
+    default:
+        return status >= firstServerError ? ErrorCode::OutcomeUnknown : ErrorCode::InvalidArgument;
+    }
+}
+
+std::string messageOf(const HttpResponse &response)
+{
+    const auto message = capture([&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(body, parseJsonObject(response.body));
+        const json::value *error = body.if_contains("error");
+        if (!error || !error->is_object())
+            return makeError(ErrorCode::Internal, "");
+        return requireString(error->as_object(), "message");
+    });
+    const auto *text = std::get_if<std::string>(&message);
+    return text ? *text : "the platform answered with status " + std::to_string(response.status);
+}
+
+// The body of a successful answer, or what the failure means for a change that was sent.
+Result<json::object> readAnswer(const HttpOutcome &outcome)
+{
+    if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
+        if (!failure->requestSent)
+            return makeError(ErrorCode::Unavailable,
+                             "the platform cannot be reached: " + failure->message);
+        const bool timedOut = failure->kind == HttpFailure::Kind::Timeout;
+        return makeError(timedOut ? ErrorCode::DeadlineExceeded : ErrorCode::OutcomeUnknown,
+                         "the platform did not answer: " + failure->message);
+    }
+    const auto &response = std::get<HttpResponse>(outcome);
+    if (response.status != statusOk)
+        return makeError(codeOf(response.status), messageOf(response));
+    return parseJsonObject(response.body);
+}
+
+Result<StoredObject> readStored(const json::object &body)
+{
+    StoredObject object;
+    BOOST_LEAF_AUTO(kind, requireString(body, "kind"));
+    BOOST_LEAF_ASSIGN(object.kind, parseObjectKind(kind));
+    BOOST_LEAF_ASSIGN(object.name, requireString(body, "name"));
+    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
+    object.version = ResourceVersion(version);
+    BOOST_LEAF_AUTO(operationId, optionalString(body, "operation_id"));
+    object.operationId = operationId.value_or("");
+    if (const json::value *value = body.if_contains("object"))
+        object.json = json::serialize(*value);
+    return object;
+}
+
+// Kinds of other systems may share the store; they are skipped.
+bool isKnownKind(const json::object &body)
+{
+    const json::value *kind = body.if_contains("kind");
+    if (!kind || !kind->is_string())
+        return false;
+    const auto parsed =
+        capture([&] { return parseObjectKind(std::string_view(kind->as_string())); });
+    return std::holds_alternative<ObjectKind>(parsed);
+}
+
+Result<const json::array *> requireArray(const json::object &body, std::string_view field)
+{
+    const json::value *value = body.if_contains(json::string_view(field.data(), field.size()));
+    if (!value || !value->is_array())
+        return makeError(ErrorCode::InvalidArgument,
+                         "the platform's answer lacks \"" + std::string(field) + "\"");
+    return &value->as_array();
+}
+
+Result<ConfigurationSnapshot> readList(const HttpOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    ConfigurationSnapshot snapshot;
+    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
+    snapshot.version = ResourceVersion(version);
+    BOOST_LEAF_AUTO(items, requireArray(body, "items"));
+    for (const json::value &item : *items) {
+        if (!item.is_object() || !isKnownKind(item.as_object()))
+            continue;
+        BOOST_LEAF_AUTO(object, readStored(item.as_object()));
+        snapshot.items.push_back(std::move(object));
+    }
+    return snapshot;
+}
+
+Result<WatchAnswer> readWatch(const HttpOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    WatchAnswer answer;
+    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
+    answer.version = ResourceVersion(version);
+    BOOST_LEAF_AUTO(events, requireArray(body, "events"));
+    for (const json::value &item : *events) {
+        if (!item.is_object() || !isKnownKind(item.as_object()))
+            continue;
+        BOOST_LEAF_AUTO(object, readStored(item.as_object()));
+        BOOST_LEAF_AUTO(type, requireString(item.as_object(), "type"));
+        answer.events.push_back({type == "delete", std::move(object)});
+    }
+    return answer;
+}
+
+Result<ResourceVersion> readVersion(const HttpOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
+    return ResourceVersion(version);
+}
+
+Result<std::optional<StoredObject>> readObject(const HttpOutcome &outcome)
+{
+    const auto *response = std::get_if<HttpResponse>(&outcome);
+    if (response && response->status == statusNotFound)
+        return std::optional<StoredObject>{};
+    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(object, readStored(body));
+    return std::optional<StoredObject>{std::move(object)};
+}
+
+Result<std::vector<VmListEntry>> readVms(const HttpOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(items, requireArray(body, "vms"));
+    std::vector<VmListEntry> entries;
+    for (const json::value &item : *items) {
+        if (!item.is_object())
+            continue;
+        VmListEntry entry;
+        BOOST_LEAF_AUTO(vm, requireString(item.as_object(), "vm"));
+        BOOST_LEAF_AUTO(zone, requireString(item.as_object(), "zone"));
+        BOOST_LEAF_AUTO(region, requireString(item.as_object(), "region"));
+        BOOST_LEAF_AUTO(state, requireString(item.as_object(), "state"));
+        entries.push_back({VmId(vm), ZoneName(zone), RegionName(region), state == "leaving"});
+    }
+    return entries;
+}
+
+std::string objectTarget(ObjectKind kind, const std::string &name)
+{
+    return "/v1/objects/" + std::string(objectKindName(kind)) + "/" + name;
+}
+
+HttpRequest encodeChange(const PutObject &command)
+{
+    const ChangeRequest &change = command.change;
+    const std::string target = objectTarget(change.kind, change.name);
+    const std::string expected = std::to_string(change.expected.value());
+    if (change.remove)
+        return {.method = "DELETE",
+                .target = target + "?expected_version=" + expected
+                          + "&operation_id=" + command.operationId};
+    json::object body{{"expected_version", change.expected.value()},
+                      {"operation_id", command.operationId}};
+    json::error_code failure;
+    body["object"] = json::parse(change.json, failure);
+    return {.method = "PUT", .target = target, .body = json::serialize(body)};
+}
+
+} // namespace
+
+struct PlatformClient::Private
+{
+    Private(EventLoop &eventLoop, SocketAddress platform)
+        : loop(eventLoop)
+        , address(std::move(platform))
+        , watchConnection(eventLoop, address)
+    {
+    }
+
+    // Changes and reads run side by side, each on a connection of its own.
+    void sendAlone(HttpRequest request, Milliseconds timeout, HttpConnection::Callback callback)
+    {
+        const std::uint64_t id = ++lastConnection;
+        auto connection = std::make_shared<HttpConnection>(loop, address);
+        connections.emplace(id, connection);
+        connection->send(std::move(request), timeout,
+                         [this, id, callback = std::move(callback)](HttpOutcome outcome) {
+                             // Destroyed later: this runs inside one of the connection's callbacks.
+                             if (auto node = connections.extract(id))
+                                 loop.post([closed = node.mapped()] {});
+                             callback(std::move(outcome));
+                         });
+    }
+
+    EventLoop &loop;
+    SocketAddress address;
+    HttpConnection watchConnection;
+    std::uint64_t lastConnection = 0;
+    std::map<std::uint64_t, std::shared_ptr<HttpConnection>> connections;
+};
+
+PlatformClient::PlatformClient(EventLoop &loop, SocketAddress address)
+    : private_(std::make_unique<Private>(loop, std::move(address)))
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+void PlatformClient::list(Milliseconds timeout, ListCallback callback)
+{
+    private_->sendAlone({.target = "/v1/objects"}, timeout,
+                        [callback = std::move(callback)](const HttpOutcome &outcome) {
+                            callback(capture([&] { return readList(outcome); }));
+                        });
+}
+
+void PlatformClient::watch(ResourceVersion from, Milliseconds wait, Milliseconds timeout,
+                           WatchCallback callback)
+{
+    // The feed has one watch outstanding; one that hangs is given up for the next.
+    private_->watchConnection.close();
+    const std::string target = "/v1/watch?from=" + std::to_string(from.value())
+                               + "&wait_ms=" + std::to_string(wait.count());
+    private_->watchConnection.send({.target = target}, wait + timeout,
+                                   [callback = std::move(callback)](const HttpOutcome &outcome) {
+                                       callback(capture([&] { return readWatch(outcome); }));
+                                   });
+}
+
+void PlatformClient::change(const PutObject &command, PutCallback callback)
+{
+    private_->sendAlone(encodeChange(command), command.timeout,
+                        [callback = std::move(callback)](const HttpOutcome &outcome) {
+                            callback(capture([&] { return readVersion(outcome); }));
+                        });
+}
+
+void PlatformClient::read(const ReadObject &command, ReadCallback callback)
+{
+    private_->sendAlone({.target = objectTarget(command.kind, command.name)}, command.timeout,
+                        [callback = std::move(callback)](const HttpOutcome &outcome) {
+                            callback(capture([&] { return readObject(outcome); }));
+                        });
+}
+
+void PlatformClient::listVms(Milliseconds timeout, VmsCallback callback)
+{
+    private_->sendAlone({.target = "/v1/vms"}, timeout,
+                        [callback = std::move(callback)](const HttpOutcome &outcome) {
+                            callback(capture([&] { return readVms(outcome); }));
+                        });
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/endpoints/endpoint_commander.h
@@ -0,0 +1,45 @@
+#ifndef PISTACHIOWOOD_ENDPOINTS_ENDPOINT_COMMANDER_H
+#define PISTACHIOWOOD_ENDPOINTS_ENDPOINT_COMMANDER_H
+
+#include "endpoints/endpoint_protocol.h"
+#include "net/event_loop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace pistachiowood {
+
+/// Probes endpoints and changes their terms, over connections apart from statement traffic.
+class EndpointCommander
+{
+public:
+    enum class Failure { Refused, Timeout, Other };
+    /// Status after the request, and whether the endpoint accepted it.
+    struct Answer
+    {
+        bool accepted = false;
+        EndpointStatus status;
+        Milliseconds latency{0};
+    };
+    using Callback = std::function<void(std::variant<Answer, Failure>)>;
+
+    EndpointCommander(EventLoop &loop, const Clock &clock);
+    ~EndpointCommander();
+
+    void probe(const SocketAddress &endpoint, Milliseconds timeout, Callback callback);
+    void raiseTerm(const SocketAddress &endpoint, Term term, const std::string &promoter,
+                   Callback callback);
+    void promote(const SocketAddress &endpoint, Term term, const std::string &promoter,
+                 Callback callback);
+    void follow(const SocketAddress &endpoint, Term term, const EndpointId &primary,
+                const SocketAddress &primaryAddress, Callback callback);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> private_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- a/src/endpoints/endpoint_protocol.cpp
+++ b/src/endpoints/endpoint_protocol.cpp
@@ -214,9 +214,10 @@
     return {.target = "/v1/status"};
 }
 
-Result<EndpointStatus> decodeStatus(const HttpOutcome &outcome)
+namespace {
+
+Result<EndpointStatus> readStatus(const json::object &body)
 {
-    BOOST_LEAF_AUTO(body, readBody(outcome));
     EndpointStatus status;
     BOOST_LEAF_ASSIGN(status.report, readReport(body));
     BOOST_LEAF_AUTO(promoter, optionalString(body, "promoter"));
@@ -227,6 +228,8 @@
     return status;
 }
 
+} // namespace
+
 HttpRequest encodePositionWait(Term term, LogPosition above, Milliseconds wait)
 {
     return {.target = "/v1/position?term=" + std::to_string(term.value()) + "&above="
@@ -261,8 +264,7 @@
 {
     BOOST_LEAF_AUTO(body, readBody(outcome));
     GrantAnswer answer;
-    BOOST_LEAF_ASSIGN(answer.status.report, readReport(body));
-    BOOST_LEAF_ASSIGN(answer.status.history, readHistory(body));
+    BOOST_LEAF_ASSIGN(answer.status, readStatus(body));
     BOOST_LEAF_AUTO(granted, optionalBool(body, "granted"));
     answer.granted = granted.value_or(false);
     return answer;
--- a/src/endpoints/endpoint_protocol.h
+++ b/src/endpoints/endpoint_protocol.h
@@ -15,7 +15,6 @@
 AttemptAnswer decodeAttempt(const AttemptRequest &request, const HttpOutcome &outcome);
 
 HttpRequest encodeStatusProbe();
-Result<EndpointStatus> decodeStatus(const HttpOutcome &outcome);
 
 HttpRequest encodePositionWait(Term term, LogPosition above, Milliseconds wait);
 Result<EndpointReport> decodeReport(const HttpOutcome &outcome);
@@ -24,7 +23,7 @@
 HttpRequest encodePromote(Term term, const std::string &promoter);
 HttpRequest encodeFollow(Term term, const EndpointId &primary, const SocketAddress &primaryAddress);
 
-/// Answer to raise_term: whether the term was granted, and the report after it.
+/// Answer to a status probe, raise_term, promote or follow; `granted` is for raise_term.
 struct GrantAnswer
 {
     bool granted = false;
