--- a/include/pistachiowood/statement.h
+++ b/include/pistachiowood/statement.h
@@ -5,6 +5,7 @@
 #include <pistachiowood/error.h>
 #include <pistachiowood/ids.h>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -41,6 +42,7 @@
     std::optional<Milliseconds> maxAge; ///< oldest data that a read accepts
     bool idempotent = false;
     RequestId requestId;
+    std::map<std::string, std::string> sessionLabels; ///< matched by the service's read rules
     std::string fairnessKey; ///< queue key of the session, for example its connection or label
     Milliseconds remaining{0}; ///< time left until the caller's deadline
     std::optional<TransactionId> transaction;
--- a/src/configuration/platform_client.cpp
+++ b/src/configuration/platform_client.cpp
@@ -149,20 +149,28 @@
     return std::optional<StoredObject>{std::move(object)};
 }
 
-Result<std::vector<VmListEntry>> readVms(const HttpOutcome &outcome)
+Result<std::vector<PlatformVm>> readVms(const HttpOutcome &outcome)
 {
     BOOST_LEAF_AUTO(body, readAnswer(outcome));
     BOOST_LEAF_AUTO(items, requireArray(body, "vms"));
-    std::vector<VmListEntry> entries;
+    std::vector<PlatformVm> entries;
     for (const json::value &item : *items) {
         if (!item.is_object())
             continue;
-        VmListEntry entry;
+        PlatformVm entry;
         BOOST_LEAF_AUTO(vm, requireString(item.as_object(), "vm"));
         BOOST_LEAF_AUTO(zone, requireString(item.as_object(), "zone"));
         BOOST_LEAF_AUTO(region, requireString(item.as_object(), "region"));
         BOOST_LEAF_AUTO(state, requireString(item.as_object(), "state"));
-        entries.push_back({VmId(vm), ZoneName(zone), RegionName(region), state == "leaving"});
+        BOOST_LEAF_AUTO(address, optionalString(item.as_object(), "address"));
+        if (address) {
+            BOOST_LEAF_ASSIGN(entry.control, decodeAddress(*address, "address"));
+        }
+        entry.vm = VmId(vm);
+        entry.zone = ZoneName(zone);
+        entry.region = RegionName(region);
+        entry.leaving = state == "leaving";
+        entries.push_back(std::move(entry));
     }
     return entries;
 }
--- a/src/configuration/platform_client.h
+++ b/src/configuration/platform_client.h
@@ -11,9 +11,10 @@
 namespace pistachiowood {
 
 /// One line of the platform's lagging VM list.
-struct VmListEntry
+struct PlatformVm
 {
     VmId vm;
+    SocketAddress control; ///< RPC for control messages; port 0 when the list does not name it
     ZoneName zone;
     RegionName region;
     bool leaving = false;
@@ -27,7 +28,7 @@
     using WatchCallback = std::function<void(ConfigurationFeed::WatchOutcome)>;
     using PutCallback = std::function<void(ChangeTracker::PutOutcome)>;
     using ReadCallback = std::function<void(ChangeTracker::ReadOutcome)>;
-    using VmsCallback = std::function<void(std::variant<std::vector<VmListEntry>, Error>)>;
+    using VmsCallback = std::function<void(std::variant<std::vector<PlatformVm>, Error>)>;
 
     PlatformClient(EventLoop &loop, SocketAddress address);
     ~PlatformClient();
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_ROUTING_ROUTING_TABLE_H
 
 #include "configuration/objects.h"
+#include "configuration/selector.h"
 #include "sessions/term_history.h"
 
 #include <map>
@@ -18,16 +19,35 @@
     SocketAddress ownerAddress; ///< traffic RPC of the owner
 };
 
+/// ReadRule with parsed selectors.
+struct ReadPolicy
+{
+    Selector sessions;
+    Selector endpoints;
+    Milliseconds defaultMaxAge{10000};
+};
+
 /// What the traffic thread knows of one service.
 struct ServiceRoutes
 {
     ServiceSpec spec;
     std::uint32_t teamWeight = 1;
+    std::vector<ReadPolicy> readPolicies;
     Term term;
     EndpointId primary; ///< empty while the service has no known primary
     TermHistory history;
     std::vector<EndpointRoute> endpoints;
 
+    /// Returns the first policy that matches the session, or null.
+    const ReadPolicy *findReadPolicy(const Labels &sessionLabels) const
+    {
+        for (const ReadPolicy &policy : readPolicies) {
+            if (policy.sessions.matches(sessionLabels))
+                return &policy;
+        }
+        return nullptr;
+    }
+
     const EndpointRoute *findEndpoint(const EndpointId &id) const
     {
         for (const EndpointRoute &route : endpoints) {
--- /dev/null
+++ b/src/rpc/control_rpc.cpp
@@ -0,0 +1,227 @@
+#include "rpc/control_rpc.h"
+
+#include "rpc/control_wire.h"
+#include "rpc/rpc_host.h"
+
+#include <map>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+// A message that cannot be delivered within one gossip period is out of date.
+constexpr auto deliveryTimeout = 1000 * kj::MILLISECONDS;
+
+/// Runs functions in the loop's thread and returns their results to the RPC thread.
+class LoopCaller
+{
+public:
+    LoopCaller(EventLoop &loop, std::function<void(RpcHost::Task)> post)
+        : loop_(loop)
+        , post_(std::move(post))
+    {
+    }
+
+    template <typename T>
+    kj::Promise<T> call(std::function<T()> function)
+    {
+        auto pair = kj::newPromiseAndFulfiller<T>();
+        // The fulfiller stays in this thread; a result that comes after the host has stopped is dropped.
+        const std::uint64_t id = ++lastCall_;
+        auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(pair.fulfiller));
+        finishers_.emplace(id, [fulfiller](void *result) { (*fulfiller)->fulfill(kj::mv(*static_cast<T *>(result))); });
+        loop_.post([this, id, post = post_, function = std::move(function)] {
+            auto result = std::make_shared<T>(function());
+            post([this, id, result](RpcHost::Context &) {
+                if (auto node = finishers_.extract(id))
+                    node.mapped()(result.get());
+            });
+        });
+        return kj::mv(pair.promise);
+    }
+
+    void run(std::function<void()> function) { loop_.post(std::move(function)); }
+
+private:
+    EventLoop &loop_;
+    std::function<void(RpcHost::Task)> post_;
+    std::uint64_t lastCall_ = 0;
+    std::map<std::uint64_t, std::function<void(void *)>> finishers_;
+};
+
+class ControlServer final : public wire::Control::Server
+{
+public:
+    ControlServer(EventLoop &loop, ControlHandler &handler, std::function<void(RpcHost::Task)> post)
+        : handler_(handler)
+        , caller_(loop, std::move(post))
+    {
+    }
+
+    kj::Promise<void> gossip(GossipContext context) override
+    {
+        caller_.run([this, message = decodeGossip(context.getParams().getMessage())] { handler_.handleGossip(message); });
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
+    {
+        return caller_.call<ConfigurationSnapshot>([this] { return handler_.copyConfiguration(); })
+            .then([context](const ConfigurationSnapshot &snapshot) mutable {
+                auto builder = context.getResults().initSnapshot();
+                builder.setVersion(snapshot.version.value());
+                encodeObjects(snapshot.items, builder.initObjects(static_cast<unsigned>(snapshot.items.size())));
+            });
+    }
+
+    kj::Promise<void> fetchStatuses(FetchStatusesContext context) override
+    {
+        return caller_.call<std::vector<StoredObject>>([this] { return handler_.copyStatuses(); })
+            .then([context](const std::vector<StoredObject> &statuses) mutable {
+                encodeObjects(statuses, context.getResults().initStatuses(static_cast<unsigned>(statuses.size())));
+            });
+    }
+
+    kj::Promise<void> announceStatuses(AnnounceStatusesContext context) override
+    {
+        caller_.run([this, statuses = decodeObjects(context.getParams().getStatuses())] {
+            handler_.handleStatuses(statuses);
+        });
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> confirmReachable(ConfirmReachableContext context) override
+    {
+        const ServiceName service(plainText(context.getParams().getService()));
+        const EndpointId endpoint(plainText(context.getParams().getEndpoint()));
+        return caller_
+            .call<std::optional<bool>>([this, service, endpoint] { return handler_.answerReachable(service, endpoint); })
+            .then([context](std::optional<bool> answer) mutable {
+                context.getResults().setKnown(answer.has_value());
+                context.getResults().setReachable(answer.value_or(false));
+            });
+    }
+
+private:
+    ControlHandler &handler_;
+    LoopCaller caller_;
+};
+
+} // namespace
+
+struct ControlRpc::Private
+{
+    // Sends a call whose answer nobody waits for.
+    template <typename Build>
+    void sendOnce(const SocketAddress &peer, Build build)
+    {
+        host.post([peer, build = std::move(build)](RpcHost::Context &context) {
+            auto call = context.connect(peer).then([build](capnp::Capability::Client client) {
+                return build(client.castAs<wire::Control>());
+            });
+            context.run(context.timer().timeoutAfter(deliveryTimeout, kj::mv(call)).catch_([](kj::Exception &&) { }));
+        });
+    }
+
+    // Sends a call and hands its decoded answer to the callback in the loop's thread.
+    template <typename T, typename Call>
+    void sendAndReceive(const SocketAddress &peer, Milliseconds timeout, Call call, Callback<T> callback)
+    {
+        const auto finish = [eventLoop = &loop, callback = std::move(callback)](std::variant<T, Error> outcome) {
+            eventLoop->post([callback, outcome = std::move(outcome)] { callback(outcome); });
+        };
+        host.post([peer, timeout, call = std::move(call), finish](RpcHost::Context &context) {
+            auto answer = context.connect(peer).then([call](capnp::Capability::Client client) {
+                return call(client.castAs<wire::Control>());
+            });
+            const auto limit = timeout.count() * kj::MILLISECONDS;
+            context.run(context.timer()
+                            .timeoutAfter(limit, kj::mv(answer))
+                            .then([finish](T value) { finish(std::move(value)); },
+                                  [finish](kj::Exception &&failure) {
+                                      finish(Error {ErrorCode::Unavailable, failure.getDescription().cStr()});
+                                  }));
+        });
+    }
+
+    EventLoop &loop;
+    ControlHandler &handler;
+    RpcHost host;
+};
+
+ControlRpc::ControlRpc(EventLoop &loop, ControlHandler &handler)
+    : private_(new Private {loop, handler, {}})
+{
+}
+
+ControlRpc::~ControlRpc() = default;
+
+Result<void> ControlRpc::listen(const SocketAddress &address)
+{
+    return private_->host.listen(address, [this]() -> capnp::Capability::Client {
+        return wire::Control::Client(
+            kj::heap<ControlServer>(private_->loop, private_->handler, private_->host.poster()));
+    });
+}
+
+std::uint16_t ControlRpc::port() const
+{
+    return private_->host.port();
+}
+
+void ControlRpc::gossip(const SocketAddress &peer, const GossipMessage &message)
+{
+    private_->sendOnce(peer, [message](wire::Control::Client client) {
+        auto request = client.gossipRequest();
+        encodeGossip(message, request.initMessage());
+        return request.send().ignoreResult();
+    });
+}
+
+void ControlRpc::announceStatuses(const SocketAddress &peer, const std::vector<StoredObject> &statuses)
+{
+    private_->sendOnce(peer, [statuses](wire::Control::Client client) {
+        auto request = client.announceStatusesRequest();
+        encodeObjects(statuses, request.initStatuses(static_cast<unsigned>(statuses.size())));
+        return request.send().ignoreResult();
+    });
+}
+
+void ControlRpc::fetchConfiguration(const SocketAddress &peer, Milliseconds timeout,
+                                    Callback<ConfigurationSnapshot> callback)
+{
+    const auto call = [](wire::Control::Client client) {
+        return client.fetchConfigurationRequest().send().then([](auto &&response) {
+            const auto snapshot = response.getSnapshot();
+            return ConfigurationSnapshot {ResourceVersion(snapshot.getVersion()), decodeObjects(snapshot.getObjects())};
+        });
+    };
+    private_->sendAndReceive<ConfigurationSnapshot>(peer, timeout, call, std::move(callback));
+}
+
+void ControlRpc::fetchStatuses(const SocketAddress &peer, Milliseconds timeout,
+                               Callback<std::vector<StoredObject>> callback)
+{
+    const auto call = [](wire::Control::Client client) {
+        return client.fetchStatusesRequest().send().then(
+            [](auto &&response) { return decodeObjects(response.getStatuses()); });
+    };
+    private_->sendAndReceive<std::vector<StoredObject>>(peer, timeout, call, std::move(callback));
+}
+
+void ControlRpc::confirmReachable(const SocketAddress &peer, const ServiceName &service, const EndpointId &endpoint,
+                                  Milliseconds timeout, Callback<std::optional<bool>> callback)
+{
+    const auto call = [service, endpoint](wire::Control::Client client) {
+        auto request = client.confirmReachableRequest();
+        request.setService(wireText(service.value()));
+        request.setEndpoint(wireText(endpoint.value()));
+        return request.send().then([](auto &&response) {
+            return response.getKnown() ? std::optional<bool>(response.getReachable()) : std::nullopt;
+        });
+    };
+    private_->sendAndReceive<std::optional<bool>>(peer, timeout, call, std::move(callback));
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/rpc/control_rpc.h
@@ -0,0 +1,57 @@
+#ifndef PISTACHIOWOOD_RPC_CONTROL_RPC_H
+#define PISTACHIOWOOD_RPC_CONTROL_RPC_H
+
+#include "configuration/configuration_store.h"
+#include "membership/membership.h"
+#include "net/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pistachiowood {
+
+/// What a daemon answers to control messages of others; called in the loop's thread.
+class ControlHandler
+{
+public:
+    virtual ~ControlHandler() = default;
+    virtual void handleGossip(const GossipMessage &message) = 0;
+    virtual ConfigurationSnapshot copyConfiguration() = 0;
+    virtual std::vector<StoredObject> copyStatuses() = 0;
+    virtual void handleStatuses(const std::vector<StoredObject> &statuses) = 0;
+    /// nullopt: no evidence either way.
+    virtual std::optional<bool> answerReachable(const ServiceName &service, const EndpointId &endpoint) = 0;
+};
+
+/// Control messages between daemons. Callbacks run in the loop's thread.
+class ControlRpc
+{
+public:
+    template <typename T>
+    using Callback = std::function<void(std::variant<T, Error>)>;
+
+    ControlRpc(EventLoop &loop, ControlHandler &handler);
+    ~ControlRpc();
+
+    Result<void> listen(const SocketAddress &address);
+    std::uint16_t port() const;
+
+    /// Delivers a message once; a failure is not reported.
+    void gossip(const SocketAddress &peer, const GossipMessage &message);
+    void announceStatuses(const SocketAddress &peer, const std::vector<StoredObject> &statuses);
+    void fetchConfiguration(const SocketAddress &peer, Milliseconds timeout, Callback<ConfigurationSnapshot> callback);
+    void fetchStatuses(const SocketAddress &peer, Milliseconds timeout, Callback<std::vector<StoredObject>> callback);
+    /// The answer is nullopt when the peer has no evidence.
+    void confirmReachable(const SocketAddress &peer, const ServiceName &service, const EndpointId &endpoint,
+                          Milliseconds timeout, Callback<std::optional<bool>> callback);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> private_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/rpc/control_wire.h
@@ -0,0 +1,30 @@
+#ifndef PISTACHIOWOOD_RPC_CONTROL_WIRE_H
+#define PISTACHIOWOOD_RPC_CONTROL_WIRE_H
+
+#include "configuration/configuration_store.h"
+#include "membership/membership.h"
+#include "rpc/peer.capnp.h"
+
+namespace pistachiowood {
+
+/// Conversions between control messages and their Cap'n Proto form. Reading throws kj::Exception on
+/// values that no daemon sends; the RPC system turns it into a failed call.
+void encodeGossip(const GossipMessage &message, wire::GossipMessage::Builder builder);
+GossipMessage decodeGossip(wire::GossipMessage::Reader reader);
+
+void encodeObjects(const std::vector<StoredObject> &objects, capnp::List<wire::StoredObject>::Builder builder);
+std::vector<StoredObject> decodeObjects(capnp::List<wire::StoredObject>::Reader reader);
+
+inline kj::StringPtr wireText(const std::string &value)
+{
+    return {value.c_str(), value.size()};
+}
+
+inline std::string plainText(capnp::Text::Reader value)
+{
+    return {value.cStr(), value.size()};
+}
+
+} // namespace pistachiowood
+
+#endif
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -64,32 +64,48 @@
   vm @0 :Text;
   zone @1 :Text;
   region @2 :Text;
-  controlAddress @3 :Text;
-  trafficAddress @4 :Text;
-  adminAddress @5 :Text;
+  control @3 :Text;
+  traffic @4 :Text;
+  admin @5 :Text;
   incarnation @6 :UInt64;
   state @7 :UInt8;
   appliedVersion @8 :UInt64;
   statusDigest @9 :UInt64;
-  update @10 :UInt64;
+}
+
+struct GossipBody {
+  sender @0 :Member;
+  updates @1 :List(Member);
+  summaryVersion @2 :UInt64;
+  rosterDigest @3 :UInt64;
+  summaryBits @4 :Data;
 }
 
 struct GossipMessage {
-  kind @0 :UInt8;
-  from @1 :Text;
-  sequence @2 :UInt64;
-  target @3 :Text;
-  updates @4 :List(Member);
-  fullState @5 :Bool;
+  body @0 :GossipBody;
+  sequence @1 :UInt64;
+  union {
+    ping @2 :Void;
+    # Id of the member that answered.
+    ack @3 :Text;
+    pingRequest :group {
+      target @4 :Text;
+      targetAddress @5 :Text;
+    }
+    join @6 :Void;
+    joinAnswer @7 :List(Member);
+  }
 }
 
 interface Control {
   # Delivers one membership message; answers are messages of their own.
   gossip @0 (message :GossipMessage) -> ();
-  # Returns the caller everything newer than the version it knows, or nothing.
-  fetchConfiguration @1 (knownVersion :UInt64) -> (snapshot :ConfigurationSnapshot);
-  # Returns the status objects of services, as stored objects.
-  announceStatus @2 (status :StoredObject) -> ();
-  # Asks whether the called daemon reaches the endpoint.
-  confirmUnreachable @3 (service :Text, endpoint :Text) -> (reachable :Bool, known :Bool);
+  # Returns the called daemon's copy of the configuration.
+  fetchConfiguration @1 () -> (snapshot :ConfigurationSnapshot);
+  # Returns the called daemon's service statuses.
+  fetchStatuses @2 () -> (statuses :List(StoredObject));
+  # Delivers newer service statuses.
+  announceStatuses @3 (statuses :List(StoredObject)) -> ();
+  # Asks whether the called daemon reaches the endpoint; not known means no evidence.
+  confirmReachable @4 (service :Text, endpoint :Text) -> (known :Bool, reachable :Bool);
 }
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -28,7 +28,9 @@
 CAPNP_DECLARE_SCHEMA(d3f96d9e4d1e4c18);
 CAPNP_DECLARE_SCHEMA(e6393056932f7d1d);
 CAPNP_DECLARE_SCHEMA(b024a636a288963e);
+CAPNP_DECLARE_SCHEMA(d3969165fa3410cb);
 CAPNP_DECLARE_SCHEMA(a94cb657e329fc44);
+CAPNP_DECLARE_SCHEMA(fafad8d8b2484e18);
 CAPNP_DECLARE_SCHEMA(b830d28b9ce0a350);
 CAPNP_DECLARE_SCHEMA(d7bf2400551ddc70);
 CAPNP_DECLARE_SCHEMA(bdd0bd935b045673);
@@ -38,6 +40,8 @@
 CAPNP_DECLARE_SCHEMA(d7235c81d0a49983);
 CAPNP_DECLARE_SCHEMA(d1f0951b261e2d03);
 CAPNP_DECLARE_SCHEMA(e58feba1bc65ed6f);
+CAPNP_DECLARE_SCHEMA(87735d68f28ee6c7);
+CAPNP_DECLARE_SCHEMA(f460b4cc987fa4f5);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -177,7 +181,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b024a636a288963e, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b024a636a288963e, 4, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GossipBody {
+  GossipBody() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3969165fa3410cb, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -190,6 +209,14 @@
   class Reader;
   class Builder;
   class Pipeline;
+  enum Which: uint16_t {
+    PING,
+    ACK,
+    PING_REQUEST,
+    JOIN,
+    JOIN_ANSWER,
+  };
+  struct PingRequest;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a94cb657e329fc44, 2, 3)
@@ -199,6 +226,21 @@
   };
 };
 
+struct GossipMessage::PingRequest {
+  PingRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fafad8d8b2484e18, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Control {
   Control() = delete;
 
@@ -211,10 +253,12 @@
   struct GossipResults;
   struct FetchConfigurationParams;
   struct FetchConfigurationResults;
-  struct AnnounceStatusParams;
-  struct AnnounceStatusResults;
-  struct ConfirmUnreachableParams;
-  struct ConfirmUnreachableResults;
+  struct FetchStatusesParams;
+  struct FetchStatusesResults;
+  struct AnnounceStatusesParams;
+  struct AnnounceStatusesResults;
+  struct ConfirmReachableParams;
+  struct ConfirmReachableResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -262,7 +306,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd60268fe0ff8574, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bd60268fe0ff8574, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -284,60 +328,90 @@
   };
 };
 
-struct Control::AnnounceStatusParams {
-  AnnounceStatusParams() = delete;
+struct Control::FetchStatusesParams {
+  FetchStatusesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4d795f657730cf9, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::FetchStatusesResults {
+  FetchStatusesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7235c81d0a49983, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::AnnounceStatusesParams {
+  AnnounceStatusesParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4d795f657730cf9, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d1f0951b261e2d03, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Control::AnnounceStatusResults {
-  AnnounceStatusResults() = delete;
+struct Control::AnnounceStatusesResults {
+  AnnounceStatusesResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7235c81d0a49983, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e58feba1bc65ed6f, 0, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Control::ConfirmUnreachableParams {
-  ConfirmUnreachableParams() = delete;
+struct Control::ConfirmReachableParams {
+  ConfirmReachableParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d1f0951b261e2d03, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(87735d68f28ee6c7, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Control::ConfirmUnreachableResults {
-  ConfirmUnreachableResults() = delete;
+struct Control::ConfirmReachableResults {
+  ConfirmReachableResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e58feba1bc65ed6f, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f460b4cc987fa4f5, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1195,14 +1269,14 @@
   inline bool hasRegion() const;
   inline  ::capnp::Text::Reader getRegion() const;
 
-  inline bool hasControlAddress() const;
-  inline  ::capnp::Text::Reader getControlAddress() const;
+  inline bool hasControl() const;
+  inline  ::capnp::Text::Reader getControl() const;
 
-  inline bool hasTrafficAddress() const;
-  inline  ::capnp::Text::Reader getTrafficAddress() const;
+  inline bool hasTraffic() const;
+  inline  ::capnp::Text::Reader getTraffic() const;
 
-  inline bool hasAdminAddress() const;
-  inline  ::capnp::Text::Reader getAdminAddress() const;
+  inline bool hasAdmin() const;
+  inline  ::capnp::Text::Reader getAdmin() const;
 
   inline  ::uint64_t getIncarnation() const;
 
@@ -1212,8 +1286,6 @@
 
   inline  ::uint64_t getStatusDigest() const;
 
-  inline  ::uint64_t getUpdate() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1263,26 +1335,26 @@
   inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline bool hasControlAddress();
-  inline  ::capnp::Text::Builder getControlAddress();
-  inline void setControlAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initControlAddress(unsigned int size);
-  inline void adoptControlAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownControlAddress();
-
-  inline bool hasTrafficAddress();
-  inline  ::capnp::Text::Builder getTrafficAddress();
-  inline void setTrafficAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTrafficAddress(unsigned int size);
-  inline void adoptTrafficAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTrafficAddress();
-
-  inline bool hasAdminAddress();
-  inline  ::capnp::Text::Builder getAdminAddress();
-  inline void setAdminAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAdminAddress(unsigned int size);
-  inline void adoptAdminAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAdminAddress();
+  inline bool hasControl();
+  inline  ::capnp::Text::Builder getControl();
+  inline void setControl( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initControl(unsigned int size);
+  inline void adoptControl(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownControl();
+
+  inline bool hasTraffic();
+  inline  ::capnp::Text::Builder getTraffic();
+  inline void setTraffic( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTraffic(unsigned int size);
+  inline void adoptTraffic(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTraffic();
+
+  inline bool hasAdmin();
+  inline  ::capnp::Text::Builder getAdmin();
+  inline void setAdmin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAdmin(unsigned int size);
+  inline void adoptAdmin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAdmin();
 
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
@@ -1296,9 +1368,6 @@
   inline  ::uint64_t getStatusDigest();
   inline void setStatusDigest( ::uint64_t value);
 
-  inline  ::uint64_t getUpdate();
-  inline void setUpdate( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1325,6 +1394,118 @@
 };
 #endif  // !CAPNP_LITE
 
+class GossipBody::Reader {
+public:
+  typedef GossipBody Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::pistachiowood::wire::Member::Reader getSender() const;
+
+  inline bool hasUpdates() const;
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+
+  inline  ::uint64_t getSummaryVersion() const;
+
+  inline  ::uint64_t getRosterDigest() const;
+
+  inline bool hasSummaryBits() const;
+  inline  ::capnp::Data::Reader getSummaryBits() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipBody::Builder {
+public:
+  typedef GossipBody Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::pistachiowood::wire::Member::Builder getSender();
+  inline void setSender( ::pistachiowood::wire::Member::Reader value);
+  inline  ::pistachiowood::wire::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::pistachiowood::wire::Member>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::Member> disownSender();
+
+  inline bool hasUpdates();
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder getUpdates();
+  inline void setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
+  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> disownUpdates();
+
+  inline  ::uint64_t getSummaryVersion();
+  inline void setSummaryVersion( ::uint64_t value);
+
+  inline  ::uint64_t getRosterDigest();
+  inline void setRosterDigest( ::uint64_t value);
+
+  inline bool hasSummaryBits();
+  inline  ::capnp::Data::Builder getSummaryBits();
+  inline void setSummaryBits( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSummaryBits(unsigned int size);
+  inline void adoptSummaryBits(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSummaryBits();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipBody::Pipeline {
+public:
+  typedef GossipBody Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::Member::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipMessage::Reader {
 public:
   typedef GossipMessage Reads;
@@ -1342,20 +1523,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
-
-  inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline Which which() const;
+  inline bool hasBody() const;
+  inline  ::pistachiowood::wire::GossipBody::Reader getBody() const;
 
   inline  ::uint64_t getSequence() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool isPing() const;
+  inline  ::capnp::Void getPing() const;
 
-  inline bool hasUpdates() const;
-  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+  inline bool isAck() const;
+  inline bool hasAck() const;
+  inline  ::capnp::Text::Reader getAck() const;
 
-  inline bool getFullState() const;
+  inline bool isPingRequest() const;
+  inline typename PingRequest::Reader getPingRequest() const;
+
+  inline bool isJoin() const;
+  inline  ::capnp::Void getJoin() const;
+
+  inline bool isJoinAnswer() const;
+  inline bool hasJoinAnswer() const;
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader getJoinAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1385,19 +1574,123 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
-  inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline Which which();
+  inline bool hasBody();
+  inline  ::pistachiowood::wire::GossipBody::Builder getBody();
+  inline void setBody( ::pistachiowood::wire::GossipBody::Reader value);
+  inline  ::pistachiowood::wire::GossipBody::Builder initBody();
+  inline void adoptBody(::capnp::Orphan< ::pistachiowood::wire::GossipBody>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::GossipBody> disownBody();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline bool isPing();
+  inline  ::capnp::Void getPing();
+  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isAck();
+  inline bool hasAck();
+  inline  ::capnp::Text::Builder getAck();
+  inline void setAck( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAck(unsigned int size);
+  inline void adoptAck(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAck();
+
+  inline bool isPingRequest();
+  inline typename PingRequest::Builder getPingRequest();
+  inline typename PingRequest::Builder initPingRequest();
+
+  inline bool isJoin();
+  inline  ::capnp::Void getJoin();
+  inline void setJoin( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isJoinAnswer();
+  inline bool hasJoinAnswer();
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder getJoinAnswer();
+  inline void setJoinAnswer( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder initJoinAnswer(unsigned int size);
+  inline void adoptJoinAnswer(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> disownJoinAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GossipMessage::Pipeline {
+public:
+  typedef GossipMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::GossipBody::Pipeline getBody();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GossipMessage::PingRequest::Reader {
+public:
+  typedef PingRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasTargetAddress() const;
+  inline  ::capnp::Text::Reader getTargetAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GossipMessage::PingRequest::Builder {
+public:
+  typedef PingRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
   inline bool hasTarget();
   inline  ::capnp::Text::Builder getTarget();
   inline void setTarget( ::capnp::Text::Reader value);
@@ -1405,15 +1698,12 @@
   inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline bool hasUpdates();
-  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> disownUpdates();
-
-  inline bool getFullState();
-  inline void setFullState(bool value);
+  inline bool hasTargetAddress();
+  inline  ::capnp::Text::Builder getTargetAddress();
+  inline void setTargetAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetAddress(unsigned int size);
+  inline void adoptTargetAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetAddress();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1425,9 +1715,9 @@
 };
 
 #if !CAPNP_LITE
-class GossipMessage::Pipeline {
+class GossipMessage::PingRequest::Pipeline {
 public:
-  typedef GossipMessage Pipelines;
+  typedef PingRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1464,9 +1754,11 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::pistachiowood::wire::Control::FetchConfigurationParams,  ::pistachiowood::wire::Control::FetchConfigurationResults> fetchConfigurationRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pistachiowood::wire::Control::AnnounceStatusParams,  ::pistachiowood::wire::Control::AnnounceStatusResults> announceStatusRequest(
+  ::capnp::Request< ::pistachiowood::wire::Control::FetchStatusesParams,  ::pistachiowood::wire::Control::FetchStatusesResults> fetchStatusesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::pistachiowood::wire::Control::ConfirmUnreachableParams,  ::pistachiowood::wire::Control::ConfirmUnreachableResults> confirmUnreachableRequest(
+  ::capnp::Request< ::pistachiowood::wire::Control::AnnounceStatusesParams,  ::pistachiowood::wire::Control::AnnounceStatusesResults> announceStatusesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pistachiowood::wire::Control::ConfirmReachableParams,  ::pistachiowood::wire::Control::ConfirmReachableResults> confirmReachableRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
@@ -1492,14 +1784,18 @@
   typedef  ::pistachiowood::wire::Control::FetchConfigurationResults FetchConfigurationResults;
   typedef ::capnp::CallContext<FetchConfigurationParams, FetchConfigurationResults> FetchConfigurationContext;
   virtual ::kj::Promise<void> fetchConfiguration(FetchConfigurationContext context);
-  typedef  ::pistachiowood::wire::Control::AnnounceStatusParams AnnounceStatusParams;
-  typedef  ::pistachiowood::wire::Control::AnnounceStatusResults AnnounceStatusResults;
-  typedef ::capnp::CallContext<AnnounceStatusParams, AnnounceStatusResults> AnnounceStatusContext;
-  virtual ::kj::Promise<void> announceStatus(AnnounceStatusContext context);
-  typedef  ::pistachiowood::wire::Control::ConfirmUnreachableParams ConfirmUnreachableParams;
-  typedef  ::pistachiowood::wire::Control::ConfirmUnreachableResults ConfirmUnreachableResults;
-  typedef ::capnp::CallContext<ConfirmUnreachableParams, ConfirmUnreachableResults> ConfirmUnreachableContext;
-  virtual ::kj::Promise<void> confirmUnreachable(ConfirmUnreachableContext context);
+  typedef  ::pistachiowood::wire::Control::FetchStatusesParams FetchStatusesParams;
+  typedef  ::pistachiowood::wire::Control::FetchStatusesResults FetchStatusesResults;
+  typedef ::capnp::CallContext<FetchStatusesParams, FetchStatusesResults> FetchStatusesContext;
+  virtual ::kj::Promise<void> fetchStatuses(FetchStatusesContext context);
+  typedef  ::pistachiowood::wire::Control::AnnounceStatusesParams AnnounceStatusesParams;
+  typedef  ::pistachiowood::wire::Control::AnnounceStatusesResults AnnounceStatusesResults;
+  typedef ::capnp::CallContext<AnnounceStatusesParams, AnnounceStatusesResults> AnnounceStatusesContext;
+  virtual ::kj::Promise<void> announceStatuses(AnnounceStatusesContext context);
+  typedef  ::pistachiowood::wire::Control::ConfirmReachableParams ConfirmReachableParams;
+  typedef  ::pistachiowood::wire::Control::ConfirmReachableResults ConfirmReachableResults;
+  typedef ::capnp::CallContext<ConfirmReachableParams, ConfirmReachableResults> ConfirmReachableContext;
+  virtual ::kj::Promise<void> confirmReachable(ConfirmReachableContext context);
 
   inline  ::pistachiowood::wire::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1682,8 +1978,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnownVersion() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1712,9 +2006,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnownVersion();
-  inline void setKnownVersion( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1823,9 +2114,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::AnnounceStatusParams::Reader {
+class Control::FetchStatusesParams::Reader {
 public:
-  typedef AnnounceStatusParams Reads;
+  typedef FetchStatusesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1840,9 +2131,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::pistachiowood::wire::StoredObject::Reader getStatus() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1855,9 +2143,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::AnnounceStatusParams::Builder {
+class Control::FetchStatusesParams::Builder {
 public:
-  typedef AnnounceStatusParams Builds;
+  typedef FetchStatusesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1871,13 +2159,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::pistachiowood::wire::StoredObject::Builder getStatus();
-  inline void setStatus( ::pistachiowood::wire::StoredObject::Reader value);
-  inline  ::pistachiowood::wire::StoredObject::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::pistachiowood::wire::StoredObject>&& value);
-  inline ::capnp::Orphan< ::pistachiowood::wire::StoredObject> disownStatus();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1888,15 +2169,14 @@
 };
 
 #if !CAPNP_LITE
-class Control::AnnounceStatusParams::Pipeline {
+class Control::FetchStatusesParams::Pipeline {
 public:
-  typedef AnnounceStatusParams Pipelines;
+  typedef FetchStatusesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pistachiowood::wire::StoredObject::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1905,9 +2185,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::AnnounceStatusResults::Reader {
+class Control::FetchStatusesResults::Reader {
 public:
-  typedef AnnounceStatusResults Reads;
+  typedef FetchStatusesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1922,6 +2202,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasStatuses() const;
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getStatuses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1934,9 +2217,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::AnnounceStatusResults::Builder {
+class Control::FetchStatusesResults::Builder {
 public:
-  typedef AnnounceStatusResults Builds;
+  typedef FetchStatusesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1950,6 +2233,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasStatuses();
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getStatuses();
+  inline void setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initStatuses(unsigned int size);
+  inline void adoptStatuses(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownStatuses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1960,9 +2250,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::AnnounceStatusResults::Pipeline {
+class Control::FetchStatusesResults::Pipeline {
 public:
-  typedef AnnounceStatusResults Pipelines;
+  typedef FetchStatusesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1976,9 +2266,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ConfirmUnreachableParams::Reader {
+class Control::AnnounceStatusesParams::Reader {
 public:
-  typedef ConfirmUnreachableParams Reads;
+  typedef AnnounceStatusesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1993,11 +2283,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline bool hasStatuses() const;
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getStatuses() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2011,9 +2298,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ConfirmUnreachableParams::Builder {
+class Control::AnnounceStatusesParams::Builder {
 public:
-  typedef ConfirmUnreachableParams Builds;
+  typedef AnnounceStatusesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2027,19 +2314,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+  inline bool hasStatuses();
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getStatuses();
+  inline void setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initStatuses(unsigned int size);
+  inline void adoptStatuses(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownStatuses();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2051,9 +2331,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::ConfirmUnreachableParams::Pipeline {
+class Control::AnnounceStatusesParams::Pipeline {
 public:
-  typedef ConfirmUnreachableParams Pipelines;
+  typedef AnnounceStatusesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2067,9 +2347,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ConfirmUnreachableResults::Reader {
+class Control::AnnounceStatusesResults::Reader {
 public:
-  typedef ConfirmUnreachableResults Reads;
+  typedef AnnounceStatusesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2084,10 +2364,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getReachable() const;
-
-  inline bool getKnown() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2100,9 +2376,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ConfirmUnreachableResults::Builder {
+class Control::AnnounceStatusesResults::Builder {
 public:
-  typedef ConfirmUnreachableResults Builds;
+  typedef AnnounceStatusesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2116,12 +2392,178 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getReachable();
-  inline void setReachable(bool value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::AnnounceStatusesResults::Pipeline {
+public:
+  typedef AnnounceStatusesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ConfirmReachableParams::Reader {
+public:
+  typedef ConfirmReachableParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ConfirmReachableParams::Builder {
+public:
+  typedef ConfirmReachableParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ConfirmReachableParams::Pipeline {
+public:
+  typedef ConfirmReachableParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ConfirmReachableResults::Reader {
+public:
+  typedef ConfirmReachableResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline bool getReachable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ConfirmReachableResults::Builder {
+public:
+  typedef ConfirmReachableResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool getKnown();
   inline void setKnown(bool value);
 
+  inline bool getReachable();
+  inline void setReachable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2132,9 +2574,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::ConfirmUnreachableResults::Pipeline {
+class Control::ConfirmReachableResults::Pipeline {
 public:
-  typedef ConfirmUnreachableResults Pipelines;
+  typedef ConfirmReachableResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3149,104 +3591,104 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasControlAddress() const {
+inline bool Member::Reader::hasControl() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasControlAddress() {
+inline bool Member::Builder::hasControl() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getControlAddress() const {
+inline  ::capnp::Text::Reader Member::Reader::getControl() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getControlAddress() {
+inline  ::capnp::Text::Builder Member::Builder::getControl() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setControlAddress( ::capnp::Text::Reader value) {
+inline void Member::Builder::setControl( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initControlAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Member::Builder::initControl(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptControlAddress(
+inline void Member::Builder::adoptControl(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownControlAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownControl() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasTrafficAddress() const {
+inline bool Member::Reader::hasTraffic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasTrafficAddress() {
+inline bool Member::Builder::hasTraffic() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getTrafficAddress() const {
+inline  ::capnp::Text::Reader Member::Reader::getTraffic() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getTrafficAddress() {
+inline  ::capnp::Text::Builder Member::Builder::getTraffic() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setTrafficAddress( ::capnp::Text::Reader value) {
+inline void Member::Builder::setTraffic( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initTrafficAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Member::Builder::initTraffic(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptTrafficAddress(
+inline void Member::Builder::adoptTraffic(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownTrafficAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownTraffic() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasAdminAddress() const {
+inline bool Member::Reader::hasAdmin() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasAdminAddress() {
+inline bool Member::Builder::hasAdmin() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getAdminAddress() const {
+inline  ::capnp::Text::Reader Member::Reader::getAdmin() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getAdminAddress() {
+inline  ::capnp::Text::Builder Member::Builder::getAdmin() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+inline void Member::Builder::setAdmin( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initAdminAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Member::Builder::initAdmin(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptAdminAddress(
+inline void Member::Builder::adoptAdmin(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAdminAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAdmin() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
@@ -3307,162 +3749,452 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getUpdate() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool GossipBody::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipBody::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pistachiowood::wire::Member::Reader GossipBody::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::Member::Pipeline GossipBody::Pipeline::getSender() {
+  return  ::pistachiowood::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GossipBody::Builder::setSender( ::pistachiowood::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::adoptSender(
+    ::capnp::Orphan< ::pistachiowood::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::Member> GossipBody::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Builder::getUpdate() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool GossipBody::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Member::Builder::setUpdate( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool GossipBody::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipBody::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipBody::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipBody::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t GossipMessage::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint64_t GossipBody::Reader::getSummaryVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t GossipMessage::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint64_t GossipBody::Builder::getSummaryVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void GossipBody::Builder::setSummaryVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasFrom() const {
+inline  ::uint64_t GossipBody::Reader::getRosterDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipBody::Builder::getRosterDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipBody::Builder::setRosterDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipBody::Reader::hasSummaryBits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipBody::Builder::hasSummaryBits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader GossipBody::Reader::getSummaryBits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder GossipBody::Builder::getSummaryBits() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::setSummaryBits( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder GossipBody::Builder::initSummaryBits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipBody::Builder::adoptSummaryBits(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> GossipBody::Builder::disownSummaryBits() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipMessage::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasFrom() {
+inline bool GossipMessage::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipMessage::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::pistachiowood::wire::GossipBody::Reader GossipMessage::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setFrom( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::GossipBody::Pipeline GossipMessage::Pipeline::getBody() {
+  return  ::pistachiowood::wire::GossipBody::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GossipMessage::Builder::setBody( ::pistachiowood::wire::GossipBody::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::initFrom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::initBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::adoptFrom(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void GossipMessage::Builder::adoptBody(
+    ::capnp::Orphan< ::pistachiowood::wire::GossipBody>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::pistachiowood::wire::GossipBody> GossipMessage::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t GossipMessage::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t GossipMessage::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void GossipMessage::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::isPing() const {
+  return which() == GossipMessage::PING;
+}
+inline bool GossipMessage::Builder::isPing() {
+  return which() == GossipMessage::PING;
+}
+inline  ::capnp::Void GossipMessage::Reader::getPing() const {
+  KJ_IREQUIRE((which() == GossipMessage::PING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool GossipMessage::Reader::hasTarget() const {
+inline  ::capnp::Void GossipMessage::Builder::getPing() {
+  KJ_IREQUIRE((which() == GossipMessage::PING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setPing( ::capnp::Void value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::isAck() const {
+  return which() == GossipMessage::ACK;
+}
+inline bool GossipMessage::Builder::isAck() {
+  return which() == GossipMessage::ACK;
+}
+inline bool GossipMessage::Reader::hasAck() const {
+  if (which() != GossipMessage::ACK) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasTarget() {
+inline bool GossipMessage::Builder::hasAck() {
+  if (which() != GossipMessage::ACK) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipMessage::Reader::getTarget() const {
+inline  ::capnp::Text::Reader GossipMessage::Reader::getAck() const {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::getTarget() {
+inline  ::capnp::Text::Builder GossipMessage::Builder::getAck() {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void GossipMessage::Builder::setAck( ::capnp::Text::Reader value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder GossipMessage::Builder::initAck(unsigned int size) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptTarget(
+inline void GossipMessage::Builder::adoptAck(
     ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownAck() {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::hasUpdates() const {
+inline bool GossipMessage::Reader::isPingRequest() const {
+  return which() == GossipMessage::PING_REQUEST;
+}
+inline bool GossipMessage::Builder::isPingRequest() {
+  return which() == GossipMessage::PING_REQUEST;
+}
+inline typename GossipMessage::PingRequest::Reader GossipMessage::Reader::getPingRequest() const {
+  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename GossipMessage::PingRequest::Reader(_reader);
+}
+inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::getPingRequest() {
+  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename GossipMessage::PingRequest::Builder(_builder);
+}
+inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::initPingRequest() {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING_REQUEST);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename GossipMessage::PingRequest::Builder(_builder);
+}
+inline bool GossipMessage::Reader::isJoin() const {
+  return which() == GossipMessage::JOIN;
+}
+inline bool GossipMessage::Builder::isJoin() {
+  return which() == GossipMessage::JOIN;
+}
+inline  ::capnp::Void GossipMessage::Reader::getJoin() const {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void GossipMessage::Builder::getJoin() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setJoin( ::capnp::Void value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::isJoinAnswer() const {
+  return which() == GossipMessage::JOIN_ANSWER;
+}
+inline bool GossipMessage::Builder::isJoinAnswer() {
+  return which() == GossipMessage::JOIN_ANSWER;
+}
+inline bool GossipMessage::Reader::hasJoinAnswer() const {
+  if (which() != GossipMessage::JOIN_ANSWER) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasUpdates() {
+inline bool GossipMessage::Builder::hasJoinAnswer() {
+  if (which() != GossipMessage::JOIN_ANSWER) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getUpdates() const {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getJoinAnswer() const {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getUpdates() {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getJoinAnswer() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void GossipMessage::Builder::setJoinAnswer( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initUpdates(unsigned int size) {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initJoinAnswer(unsigned int size) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptUpdates(
+inline void GossipMessage::Builder::adoptJoinAnswer(
     ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownUpdates() {
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownJoinAnswer() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::getFullState() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::PingRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::PingRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::PingRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::PingRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Builder::getFullState() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::PingRequest::Reader::hasTargetAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipMessage::Builder::setFullState(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline bool GossipMessage::PingRequest::Builder::hasTargetAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTargetAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTargetAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::PingRequest::Builder::setTargetAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTargetAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::PingRequest::Builder::adoptTargetAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTargetAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -3528,20 +4260,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Control::FetchConfigurationParams::Reader::getKnownVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Control::FetchConfigurationParams::Builder::getKnownVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Control::FetchConfigurationParams::Builder::setKnownVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Control::FetchConfigurationResults::Reader::hasSnapshot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3581,137 +4299,166 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::AnnounceStatusParams::Reader::hasStatus() const {
+inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::AnnounceStatusParams::Builder::hasStatus() {
+inline bool Control::FetchStatusesResults::Builder::hasStatuses() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pistachiowood::wire::StoredObject::Reader Control::AnnounceStatusParams::Reader::getStatus() const {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::get(_reader.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::FetchStatusesResults::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pistachiowood::wire::StoredObject::Builder Control::AnnounceStatusParams::Builder::getStatus() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::get(_builder.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::pistachiowood::wire::StoredObject::Pipeline Control::AnnounceStatusParams::Pipeline::getStatus() {
-  return  ::pistachiowood::wire::StoredObject::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Control::AnnounceStatusParams::Builder::setStatus( ::pistachiowood::wire::StoredObject::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::set(_builder.getPointerField(
+inline void Control::FetchStatusesResults::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pistachiowood::wire::StoredObject::Builder Control::AnnounceStatusParams::Builder::initStatus() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::init(_builder.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::FetchStatusesResults::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::FetchStatusesResults::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::AnnounceStatusesParams::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::AnnounceStatusesParams::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::AnnounceStatusesParams::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::AnnounceStatusParams::Builder::adoptStatus(
-    ::capnp::Orphan< ::pistachiowood::wire::StoredObject>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::adopt(_builder.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::AnnounceStatusesParams::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::AnnounceStatusesParams::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::StoredObject> Control::AnnounceStatusParams::Builder::disownStatus() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::StoredObject>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::AnnounceStatusesParams::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmUnreachableParams::Reader::hasService() const {
+inline bool Control::ConfirmReachableParams::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmUnreachableParams::Builder::hasService() {
+inline bool Control::ConfirmReachableParams::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmUnreachableParams::Reader::getService() const {
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmUnreachableParams::Builder::getService() {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmUnreachableParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void Control::ConfirmReachableParams::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmUnreachableParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmUnreachableParams::Builder::adoptService(
+inline void Control::ConfirmReachableParams::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmUnreachableParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmUnreachableParams::Reader::hasEndpoint() const {
+inline bool Control::ConfirmReachableParams::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmUnreachableParams::Builder::hasEndpoint() {
+inline bool Control::ConfirmReachableParams::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmUnreachableParams::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmUnreachableParams::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmUnreachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void Control::ConfirmReachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmUnreachableParams::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmUnreachableParams::Builder::adoptEndpoint(
+inline void Control::ConfirmReachableParams::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmUnreachableParams::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmUnreachableResults::Reader::getReachable() const {
+inline bool Control::ConfirmReachableResults::Reader::getKnown() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmUnreachableResults::Builder::getReachable() {
+inline bool Control::ConfirmReachableResults::Builder::getKnown() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmUnreachableResults::Builder::setReachable(bool value) {
+inline void Control::ConfirmReachableResults::Builder::setKnown(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::ConfirmUnreachableResults::Reader::getKnown() const {
+inline bool Control::ConfirmReachableResults::Reader::getReachable() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmUnreachableResults::Builder::getKnown() {
+inline bool Control::ConfirmReachableResults::Builder::getReachable() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmUnreachableResults::Builder::setKnown(bool value) {
+inline void Control::ConfirmReachableResults::Builder::setReachable(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
--- a/src/statements/read_execution.cpp
+++ b/src/statements/read_execution.cpp
@@ -64,9 +64,10 @@
 bool ReadExecution::buildRequirement(const ServiceRoutes &routes)
 {
     requirement_.term = routes.term;
-    requirement_.maxAge = request_.maxAge.value_or(
-        routes.spec.readRules.empty() ? router_.settings_.defaultMaxAge
-                                      : routes.spec.readRules.front().defaultMaxAge);
+    const ReadPolicy *policy = routes.findReadPolicy(request_.sessionLabels);
+    const Milliseconds defaultMaxAge =
+        policy ? policy->defaultMaxAge : router_.settings_.defaultMaxAge;
+    requirement_.maxAge = request_.maxAge.value_or(defaultMaxAge);
     if (!request_.session)
         return true;
     const auto required =
@@ -88,10 +89,12 @@
 
 std::optional<EndpointId> ReadExecution::chooseEndpoint(const ServiceRoutes &routes) const
 {
+    const ReadPolicy *policy = routes.findReadPolicy(request_.sessionLabels);
     std::vector<ReadCandidate> candidates;
     for (const EndpointRoute &route : routes.endpoints) {
         const bool isPrimary = route.spec.id == routes.primary;
-        if (!route.spec.leaving && !tried_.contains(route.spec.id))
+        const bool isAllowed = isPrimary || !policy || policy->endpoints.matches(route.spec.labels);
+        if (isAllowed && !route.spec.leaving && !tried_.contains(route.spec.id))
             candidates.push_back({route.spec.id, route.spec.zone, route.spec.region, isPrimary});
     }
     const auto ranked = router_.reads_.rank(candidates, requirement_, router_.locality_);
