--- a/src/primary/failure_detector.cpp
+++ b/src/primary/failure_detector.cpp
@@ -186,7 +186,9 @@
             return {Verdict::Failed, reason};
         return {Verdict::Suspected, reason};
     }
-    if (cannotAssembleMajority(settings_.isolationLimit))
+    // Replicas of a new primary may still show the time since they lost the previous one.
+    if (clock_.now() - since_ >= settings_.isolationLimit
+        && cannotAssembleMajority(settings_.isolationLimit))
         return {Verdict::Failed, FailureReason::Isolated};
     if (isSlow()) {
         // Without an answer from another daemon a slow link to the primary looks the same as a slow
--- a/src/primary/primary_controller.h
+++ b/src/primary/primary_controller.h
@@ -104,6 +104,16 @@
     return detectionBound(settings) + rank * settings.stagger + attemptBound(settings);
 }
 
+/// Longest time after all faults end until one primary is followed by all members. An attempt that
+/// was given up may have left a member in a newer term, which takes a second change of primary.
+constexpr Milliseconds settleBound(const ControllerSettings &settings, unsigned rank)
+{
+    return 2
+               * (settings.holdDownCap + settings.splitLimit + failoverBound(settings, rank)
+                  + settings.backoffCap)
+           + settings.publishBackoffCap;
+}
+
 /// Keeps one service supplied with a primary, on a daemon that is responsible for it.
 ///
 /// Safety does not depend on anything here being timely or unique: endpoints grant each term once,
--- a/src/primary/promotion.cpp
+++ b/src/primary/promotion.cpp
@@ -1,6 +1,7 @@
 #include "primary/promotion.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -163,20 +164,20 @@
         return std::tuple(!member.mayBePrimary(), member.id != request_.preferredMember,
                           member.zone != request_.preferredZone, member.id);
     };
-    const GroupMember *best = nullptr;
-    for (const GroupMember &member : request_.members) {
-        if (!grants_.contains(member.id))
-            continue;
-        if (!best) {
-            best = &member;
-            continue;
-        }
-        const EndpointReport &report = grants_.at(member.id).report;
-        const EndpointReport &bestReport = grants_.at(best->id).report;
-        if (settings_.rules.isLogBehind(bestReport, report)
-            || (!settings_.rules.isLogBehind(report, bestReport) && rankOf(member) < rankOf(*best)))
-            best = &member;
-    }
+    std::vector<GroupMember> granted;
+    std::ranges::copy_if(request_.members, std::back_inserter(granted),
+                         [this](const GroupMember &member) { return grants_.contains(member.id); });
+    const auto best =
+        std::ranges::max_element(granted, [&](const GroupMember &left, const GroupMember &right) {
+            const EndpointReport &leftReport = grants_.at(left.id).report;
+            const EndpointReport &rightReport = grants_.at(right.id).report;
+            if (settings_.rules.isLogBehind(leftReport, rightReport))
+                return true;
+            return !settings_.rules.isLogBehind(rightReport, leftReport)
+                   && rankOf(right) < rankOf(left);
+        });
+    if (best == granted.end())
+        return;
     chosen_ = best->id;
     switchoverDue_ = !best->mayBePrimary();
 }
