--- a/tools/link_relay/main.cpp
+++ b/tools/link_relay/main.cpp
@@ -1,4 +1,4 @@
-#include "base/address.h"
+#include "base/settings.h"
 #include "link_relay/relay.h"
 #include "link_relay/relay_control.h"
 
@@ -25,8 +25,8 @@
         if (separator == std::string::npos)
             return makeError(ErrorCode::InvalidArgument,
                              "\"" + pair + "\" does not have the form listen=target");
-        BOOST_LEAF_AUTO(listen, parseAddress(std::string_view(pair).substr(0, separator)));
-        BOOST_LEAF_AUTO(target, parseAddress(std::string_view(pair).substr(separator + 1)));
+        BOOST_LEAF_AUTO(listen, parseAddress(pair.substr(0, separator)));
+        BOOST_LEAF_AUTO(target, parseAddress(pair.substr(separator + 1)));
         BOOST_LEAF_AUTO(port, relay.addPair(listen, target));
         std::cout << "relaying " << listen.host << ":" << port << " to " << target.host << ":"
                   << target.port << std::endl;
--- a/tools/link_relay/relay.cpp
+++ b/tools/link_relay/relay.cpp
@@ -1,6 +1,7 @@
 #include "link_relay/relay.h"
 
 #include "link_relay/link_schedule.h"
+#include "net/precise_timer.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
@@ -10,8 +11,6 @@
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/timerfd.h>
-#include <unistd.h>
 
 #include <cstring>
 #include <deque>
@@ -32,51 +31,6 @@
 
 enum class Side : std::size_t { Client, Target };
 
-/// Calls back at an absolute time with microsecond accuracy; the loop's timers have a resolution of
-/// one millisecond, which is longer than the delay within a region.
-class PreciseTimer : public ACE_Event_Handler
-{
-public:
-    PreciseTimer(ACE_Reactor *reactor, std::function<void()> callback)
-        : reactor_(reactor)
-        , callback_(std::move(callback))
-        , handle_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
-    {
-        reactor_->register_handler(this, READ_MASK);
-    }
-
-    ~PreciseTimer() override
-    {
-        reactor_->remove_handler(this, READ_MASK | DONT_CALL);
-        ::close(handle_);
-    }
-
-    ACE_HANDLE get_handle() const override { return handle_; }
-
-    int handle_input(ACE_HANDLE) override
-    {
-        std::uint64_t expirations = 0;
-        if (::read(handle_, &expirations, sizeof expirations) > 0)
-            callback_();
-        return 0;
-    }
-
-    void start(TimePoint time)
-    {
-        const auto nanoseconds =
-            std::max<std::int64_t>(1, std::chrono::nanoseconds(time.time_since_epoch()).count());
-        itimerspec spec{};
-        spec.it_value.tv_sec = nanoseconds / 1'000'000'000;
-        spec.it_value.tv_nsec = nanoseconds % 1'000'000'000;
-        timerfd_settime(handle_, TFD_TIMER_ABSTIME, &spec, nullptr);
-    }
-
-private:
-    ACE_Reactor *reactor_;
-    std::function<void()> callback_;
-    ACE_HANDLE handle_;
-};
-
 struct Chunk
 {
     std::string bytes;
@@ -136,7 +90,7 @@
 
     Private(EventLoop &eventLoop, const LinkSettings &linkSettings)
         : loop(eventLoop)
-        , timer(loop.reactor(), [this] { runDue(); })
+        , timer(loop, [this] { runDue(); })
     {
         apply(linkSettings);
     }
