--- a/src/rpc/control_rpc.cpp
+++ b/src/rpc/control_rpc.cpp
@@ -27,10 +27,13 @@
     kj::Promise<T> call(std::function<T()> function)
     {
         auto pair = kj::newPromiseAndFulfiller<T>();
-        // The fulfiller stays in this thread; a result that comes after the host has stopped is dropped.
+        // The fulfiller stays in this thread; a result that comes after the host has stopped is
+        // dropped.
         const std::uint64_t id = ++lastCall_;
         auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(pair.fulfiller));
-        finishers_.emplace(id, [fulfiller](void *result) { (*fulfiller)->fulfill(kj::mv(*static_cast<T *>(result))); });
+        finishers_.emplace(id, [fulfiller](void *result) {
+            (*fulfiller)->fulfill(kj::mv(*static_cast<T *>(result)));
+        });
         loop_.post([this, id, post = post_, function = std::move(function)] {
             auto result = std::make_shared<T>(function());
             post([this, id, result](RpcHost::Context &) {
@@ -61,7 +64,9 @@
 
     kj::Promise<void> gossip(GossipContext context) override
     {
-        caller_.run([this, message = decodeGossip(context.getParams().getMessage())] { handler_.handleGossip(message); });
+        caller_.run([this, message = decodeGossip(context.getParams().getMessage())] {
+            handler_.handleGossip(message);
+        });
         return kj::READY_NOW;
     }
 
@@ -71,15 +76,20 @@
             .then([context](const ConfigurationSnapshot &snapshot) mutable {
                 auto builder = context.getResults().initSnapshot();
                 builder.setVersion(snapshot.version.value());
-                encodeObjects(snapshot.items, builder.initObjects(static_cast<unsigned>(snapshot.items.size())));
+                encodeObjects(snapshot.items,
+                              builder.initObjects(static_cast<unsigned>(snapshot.items.size())));
             });
     }
 
     kj::Promise<void> fetchStatuses(FetchStatusesContext context) override
     {
-        return caller_.call<std::vector<StoredObject>>([this] { return handler_.copyStatuses(); })
+        const ServiceName service(plainText(context.getParams().getService()));
+        return caller_
+            .call<std::vector<StoredObject>>(
+                [this, service] { return handler_.copyStatuses(service); })
             .then([context](const std::vector<StoredObject> &statuses) mutable {
-                encodeObjects(statuses, context.getResults().initStatuses(static_cast<unsigned>(statuses.size())));
+                encodeObjects(statuses, context.getResults().initStatuses(
+                                            static_cast<unsigned>(statuses.size())));
             });
     }
 
@@ -96,7 +106,8 @@
         const ServiceName service(plainText(context.getParams().getService()));
         const EndpointId endpoint(plainText(context.getParams().getEndpoint()));
         return caller_
-            .call<std::optional<bool>>([this, service, endpoint] { return handler_.answerReachable(service, endpoint); })
+            .call<std::optional<bool>>(
+                [this, service, endpoint] { return handler_.answerReachable(service, endpoint); })
             .then([context](std::optional<bool> answer) mutable {
                 context.getResults().setKnown(answer.has_value());
                 context.getResults().setReachable(answer.value_or(false));
@@ -120,15 +131,19 @@
             auto call = context.connect(peer).then([build](capnp::Capability::Client client) {
                 return build(client.castAs<wire::Control>());
             });
-            context.run(context.timer().timeoutAfter(deliveryTimeout, kj::mv(call)).catch_([](kj::Exception &&) { }));
+            context.run(context.timer()
+                            .timeoutAfter(deliveryTimeout, kj::mv(call))
+                            .catch_([](kj::Exception &&) {}));
         });
     }
 
     // Sends a call and hands its decoded answer to the callback in the loop's thread.
     template <typename T, typename Call>
-    void sendAndReceive(const SocketAddress &peer, Milliseconds timeout, Call call, Callback<T> callback)
+    void sendAndReceive(const SocketAddress &peer, Milliseconds timeout, Call call,
+                        Callback<T> callback)
     {
-        const auto finish = [eventLoop = &loop, callback = std::move(callback)](std::variant<T, Error> outcome) {
+        const auto finish = [eventLoop = &loop,
+                             callback = std::move(callback)](std::variant<T, Error> outcome) {
             eventLoop->post([callback, outcome = std::move(outcome)] { callback(outcome); });
         };
         host.post([peer, timeout, call = std::move(call), finish](RpcHost::Context &context) {
@@ -136,12 +151,14 @@
                 return call(client.castAs<wire::Control>());
             });
             const auto limit = timeout.count() * kj::MILLISECONDS;
-            context.run(context.timer()
-                            .timeoutAfter(limit, kj::mv(answer))
-                            .then([finish](T value) { finish(std::move(value)); },
-                                  [finish](kj::Exception &&failure) {
-                                      finish(Error {ErrorCode::Unavailable, failure.getDescription().cStr()});
-                                  }));
+            context.run(
+                context.timer()
+                    .timeoutAfter(limit, kj::mv(answer))
+                    .then(
+                        [finish](T value) { finish(std::move(value)); },
+                        [finish](kj::Exception &&failure) {
+                            finish(Error{ErrorCode::Unavailable, failure.getDescription().cStr()});
+                        }));
         });
     }
 
@@ -151,7 +168,7 @@
 };
 
 ControlRpc::ControlRpc(EventLoop &loop, ControlHandler &handler)
-    : private_(new Private {loop, handler, {}})
+    : private_(new Private{loop, handler, {}})
 {
 }
 
@@ -179,7 +196,8 @@
     });
 }
 
-void ControlRpc::announceStatuses(const SocketAddress &peer, const std::vector<StoredObject> &statuses)
+void ControlRpc::announceStatuses(const SocketAddress &peer,
+                                  const std::vector<StoredObject> &statuses)
 {
     private_->sendOnce(peer, [statuses](wire::Control::Client client) {
         auto request = client.announceStatusesRequest();
@@ -194,31 +212,36 @@
     const auto call = [](wire::Control::Client client) {
         return client.fetchConfigurationRequest().send().then([](auto &&response) {
             const auto snapshot = response.getSnapshot();
-            return ConfigurationSnapshot {ResourceVersion(snapshot.getVersion()), decodeObjects(snapshot.getObjects())};
+            return ConfigurationSnapshot{ResourceVersion(snapshot.getVersion()),
+                                         decodeObjects(snapshot.getObjects())};
         });
     };
     private_->sendAndReceive<ConfigurationSnapshot>(peer, timeout, call, std::move(callback));
 }
 
-void ControlRpc::fetchStatuses(const SocketAddress &peer, Milliseconds timeout,
-                               Callback<std::vector<StoredObject>> callback)
+void ControlRpc::fetchStatuses(const SocketAddress &peer, const ServiceName &service,
+                               Milliseconds timeout, Callback<std::vector<StoredObject>> callback)
 {
-    const auto call = [](wire::Control::Client client) {
-        return client.fetchStatusesRequest().send().then(
+    const auto call = [service](wire::Control::Client client) {
+        auto request = client.fetchStatusesRequest();
+        request.setService(wireText(service.value()));
+        return request.send().then(
             [](auto &&response) { return decodeObjects(response.getStatuses()); });
     };
     private_->sendAndReceive<std::vector<StoredObject>>(peer, timeout, call, std::move(callback));
 }
 
-void ControlRpc::confirmReachable(const SocketAddress &peer, const ServiceName &service, const EndpointId &endpoint,
-                                  Milliseconds timeout, Callback<std::optional<bool>> callback)
+void ControlRpc::confirmReachable(const SocketAddress &peer, const ServiceName &service,
+                                  const EndpointId &endpoint, Milliseconds timeout,
+                                  Callback<std::optional<bool>> callback)
 {
     const auto call = [service, endpoint](wire::Control::Client client) {
         auto request = client.confirmReachableRequest();
         request.setService(wireText(service.value()));
         request.setEndpoint(wireText(endpoint.value()));
         return request.send().then([](auto &&response) {
-            return response.getKnown() ? std::optional<bool>(response.getReachable()) : std::nullopt;
+            return response.getKnown() ? std::optional<bool>(response.getReachable())
+                                       : std::nullopt;
         });
     };
     private_->sendAndReceive<std::optional<bool>>(peer, timeout, call, std::move(callback));
--- a/src/rpc/control_rpc.h
+++ b/src/rpc/control_rpc.h
@@ -19,10 +19,12 @@
     virtual ~ControlHandler() = default;
     virtual void handleGossip(const GossipMessage &message) = 0;
     virtual ConfigurationSnapshot copyConfiguration() = 0;
-    virtual std::vector<StoredObject> copyStatuses() = 0;
+    /// Status of one service, or of all when the name is empty.
+    virtual std::vector<StoredObject> copyStatuses(const ServiceName &service) = 0;
     virtual void handleStatuses(const std::vector<StoredObject> &statuses) = 0;
     /// nullopt: no evidence either way.
-    virtual std::optional<bool> answerReachable(const ServiceName &service, const EndpointId &endpoint) = 0;
+    virtual std::optional<bool> answerReachable(const ServiceName &service,
+                                                const EndpointId &endpoint) = 0;
 };
 
 /// Control messages between daemons. Callbacks run in the loop's thread.
@@ -41,11 +43,15 @@
     /// Delivers a message once; a failure is not reported.
     void gossip(const SocketAddress &peer, const GossipMessage &message);
     void announceStatuses(const SocketAddress &peer, const std::vector<StoredObject> &statuses);
-    void fetchConfiguration(const SocketAddress &peer, Milliseconds timeout, Callback<ConfigurationSnapshot> callback);
-    void fetchStatuses(const SocketAddress &peer, Milliseconds timeout, Callback<std::vector<StoredObject>> callback);
+    void fetchConfiguration(const SocketAddress &peer, Milliseconds timeout,
+                            Callback<ConfigurationSnapshot> callback);
+    /// An empty service name fetches all.
+    void fetchStatuses(const SocketAddress &peer, const ServiceName &service, Milliseconds timeout,
+                       Callback<std::vector<StoredObject>> callback);
     /// The answer is nullopt when the peer has no evidence.
-    void confirmReachable(const SocketAddress &peer, const ServiceName &service, const EndpointId &endpoint,
-                          Milliseconds timeout, Callback<std::optional<bool>> callback);
+    void confirmReachable(const SocketAddress &peer, const ServiceName &service,
+                          const EndpointId &endpoint, Milliseconds timeout,
+                          Callback<std::optional<bool>> callback);
 
 private:
     struct Private;
--- a/src/rpc/control_wire.cpp
+++ b/src/rpc/control_wire.cpp
@@ -40,14 +40,16 @@
     member.traffic = readAddress(reader.getTraffic());
     member.admin = readAddress(reader.getAdmin());
     member.incarnation = Incarnation(reader.getIncarnation());
-    KJ_REQUIRE(reader.getState() <= static_cast<std::uint8_t>(MemberState::Dead), "unknown member state");
+    KJ_REQUIRE(reader.getState() <= static_cast<std::uint8_t>(MemberState::Dead),
+               "unknown member state");
     member.state = static_cast<MemberState>(reader.getState());
     member.appliedVersion = ResourceVersion(reader.getAppliedVersion());
     member.statusDigest = reader.getStatusDigest();
     return member;
 }
 
-void encodeMembers(const std::vector<MemberRecord> &members, capnp::List<wire::Member>::Builder builder)
+void encodeMembers(const std::vector<MemberRecord> &members,
+                   capnp::List<wire::Member>::Builder builder)
 {
     for (unsigned i = 0; i < members.size(); ++i)
         encodeMember(members[i], builder[i]);
@@ -69,7 +71,8 @@
     encodeMembers(body.updates, builder.initUpdates(static_cast<unsigned>(body.updates.size())));
     builder.setSummaryVersion(body.versions.version.value());
     builder.setRosterDigest(body.versions.rosterDigest);
-    builder.setSummaryBits(capnp::Data::Reader(body.versions.bits.data(), body.versions.bits.size()));
+    builder.setSummaryBits(
+        capnp::Data::Reader(body.versions.bits.data(), body.versions.bits.size()));
 }
 
 GossipBody decodeBody(wire::GossipBody::Reader reader)
@@ -114,7 +117,8 @@
     void operator()(const JoinAnswer &answer)
     {
         encodeBody(answer.body, builder.initBody());
-        encodeMembers(answer.members, builder.initJoinAnswer(static_cast<unsigned>(answer.members.size())));
+        encodeMembers(answer.members,
+                      builder.initJoinAnswer(static_cast<unsigned>(answer.members.size())));
     }
 
     wire::GossipMessage::Builder builder;
@@ -124,7 +128,7 @@
 
 void encodeGossip(const GossipMessage &message, wire::GossipMessage::Builder builder)
 {
-    std::visit(GossipEncoder {builder}, message);
+    std::visit(GossipEncoder{builder}, message);
 }
 
 GossipMessage decodeGossip(wire::GossipMessage::Reader reader)
@@ -133,23 +137,24 @@
     const std::uint64_t sequence = reader.getSequence();
     switch (reader.which()) {
     case wire::GossipMessage::PING:
-        return Ping {sequence, std::move(body)};
+        return Ping{sequence, std::move(body)};
     case wire::GossipMessage::ACK:
-        return Ack {sequence, VmId(plainText(reader.getAck())), std::move(body)};
+        return Ack{sequence, VmId(plainText(reader.getAck())), std::move(body)};
     case wire::GossipMessage::PING_REQUEST: {
         const auto group = reader.getPingRequest();
-        return PingRequest {sequence, VmId(plainText(group.getTarget())), readAddress(group.getTargetAddress()),
-                            std::move(body)};
+        return PingRequest{sequence, VmId(plainText(group.getTarget())),
+                           readAddress(group.getTargetAddress()), std::move(body)};
     }
     case wire::GossipMessage::JOIN:
-        return JoinRequest {std::move(body)};
+        return JoinRequest{std::move(body)};
     case wire::GossipMessage::JOIN_ANSWER:
-        return JoinAnswer {std::move(body), decodeMembers(reader.getJoinAnswer())};
+        return JoinAnswer{std::move(body), decodeMembers(reader.getJoinAnswer())};
     }
     KJ_FAIL_REQUIRE("unknown gossip message");
 }
 
-void encodeObjects(const std::vector<StoredObject> &objects, capnp::List<wire::StoredObject>::Builder builder)
+void encodeObjects(const std::vector<StoredObject> &objects,
+                   capnp::List<wire::StoredObject>::Builder builder)
 {
     for (unsigned i = 0; i < objects.size(); ++i) {
         const std::string kind(objectKindName(objects[i].kind));
@@ -169,8 +174,9 @@
         const auto kind = capture([&] { return parseObjectKind(plainText(object.getKind())); });
         if (!std::holds_alternative<ObjectKind>(kind))
             continue; // a newer daemon may know more kinds
-        objects.push_back({std::get<ObjectKind>(kind), plainText(object.getName()), ResourceVersion(object.getVersion()),
-                           plainText(object.getOperationId()), plainText(object.getJson())});
+        objects.push_back({std::get<ObjectKind>(kind), plainText(object.getName()),
+                           ResourceVersion(object.getVersion()), plainText(object.getOperationId()),
+                           plainText(object.getJson())});
     }
     return objects;
 }
--- a/src/rpc/control_wire.h
+++ b/src/rpc/control_wire.h
@@ -12,7 +12,8 @@
 void encodeGossip(const GossipMessage &message, wire::GossipMessage::Builder builder);
 GossipMessage decodeGossip(wire::GossipMessage::Reader reader);
 
-void encodeObjects(const std::vector<StoredObject> &objects, capnp::List<wire::StoredObject>::Builder builder);
+void encodeObjects(const std::vector<StoredObject> &objects,
+                   capnp::List<wire::StoredObject>::Builder builder);
 std::vector<StoredObject> decodeObjects(capnp::List<wire::StoredObject>::Reader reader);
 
 inline kj::StringPtr wireText(const std::string &value)
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -102,8 +102,8 @@
   gossip @0 (message :GossipMessage) -> ();
   # Returns the called daemon's copy of the configuration.
   fetchConfiguration @1 () -> (snapshot :ConfigurationSnapshot);
-  # Returns the called daemon's service statuses.
-  fetchStatuses @2 () -> (statuses :List(StoredObject));
+  # Returns the called daemon's status of one service, or of all when the name is empty.
+  fetchStatuses @2 (service :Text) -> (statuses :List(StoredObject));
   # Delivers newer service statuses.
   announceStatuses @3 (statuses :List(StoredObject)) -> ();
   # Asks whether the called daemon reaches the endpoint; not known means no evidence.
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -336,7 +336,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4d795f657730cf9, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f4d795f657730cf9, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2131,6 +2131,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2159,6 +2162,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4299,6 +4309,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::FetchStatusesParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::FetchStatusesParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::FetchStatusesParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::FetchStatusesParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::FetchStatusesParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::FetchStatusesParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
