--- a/tools/link_relay/relay_control.cpp
+++ b/tools/link_relay/relay_control.cpp
@@ -43,8 +43,9 @@
             || (request.method != "POST" && request.method != "GET"))
             return {404, errorBody({ErrorCode::NotFound, "no such operation"})};
         const auto outcome = capture([&]() -> Result<std::string> {
-            if (request.method == "POST")
+            if (request.method == "POST") {
                 BOOST_LEAF_CHECK(change(request.body));
+            }
             return show();
         });
         if (const auto *error = std::get_if<Error>(&outcome))
