--- a/src/pools/endpoint_pool_test.cpp
+++ b/src/pools/endpoint_pool_test.cpp
@@ -277,8 +277,59 @@
     pump();
     CHECK_TRUE(opened.empty());
     wait(limits.connectBackoff);
+    pump();
+    LONGS_EQUAL(2, std::exchange(opened, {}).size());
+    const Ticket refused = submit();
+    pump();
+    pool.finish(started.at(refused), Finish::Discard);
+    pump();
+    CHECK_TRUE(opened.empty());
+}
+
+// Guards against a transaction on a connection that the pool counts as free.
+TEST(EndpointPool, connectionOfPlainStatementIsNotKeptPinned)
+{
+    submit();
+    pump();
+    pool.finish(started.at(Ticket(1)), Finish::KeepPinned);
+    pump();
+    CHECK_TRUE(closed == std::vector{started.at(Ticket(1))});
+    LONGS_EQUAL(0, pool.stats().pinned);
+}
+
+// Guards against refusals while connections work and only further ones fail.
+TEST(EndpointPool, failedConnectsDoNotStopWorkingConnections)
+{
+    submit();
     pump(false);
-    LONGS_EQUAL(1, opened.size());
+    pool.handleConnected(opened.at(0));
+    for (ConnectionId id = opened.at(1);; id = opened.back()) {
+        pool.handleConnectFailed(id, "refused");
+        if (pool.stats().connectsFailed == limits.failuresUntilUnreachable)
+            break;
+        wait(limits.connectBackoffCap);
+        pump(false);
+    }
+    const Ticket queued = submit();
+    pool.finish(started.at(Ticket(1)), Finish::Reusable);
+    pump(false);
+    CHECK_TRUE(started.contains(queued));
+}
+
+// Guards against a transaction that expires while its statement waits for a slot.
+TEST(EndpointPool, waitingTransactionDoesNotExpire)
+{
+    const ConnectionId transaction = beginTransaction();
+    submit();
+    submit();
+    pump();
+    const Ticket next = submitPinned(transaction);
+    const Ticket second = submitPinned(transaction);
+    wait(limits.idleTransactionTimeout);
+    pool.finish(started.at(Ticket(2)), Finish::Reusable);
+    pump();
+    CHECK_TRUE(started.at(next) == transaction);
+    CHECK_TRUE(rejected.at(second) == ErrorCode::Conflict);
 }
 
 // Guards against a drain that cuts transactions off, never ends or admits new work.
--- a/src/writes/durability_tracker_test.cpp
+++ b/src/writes/durability_tracker_test.cpp
@@ -54,10 +54,12 @@
 // Guards against a divergent tail or another term's position that counts as a copy.
 TEST(DurabilityTracker, onlyEntriesOfTheTermCount)
 {
-    report(a, 10);
-    report(b, 20, 5, 4); // granted term 5, but its tail is of term 4
+    tracker.setGroup(Term(5), a, {a, b, c, d});
+    report(a, 20);
+    report(b, 20); // two of four
+    report(c, 20, 5, 4); // granted term 5, but its tail is of term 4
     report(c, 20, 4, 4);
-    report(d, 20, 6, 5); // will refuse the primary of term 5 from now on
+    report(c, 20, 6, 5); // will refuse the primary of term 5 from now on
     report(EndpointId("stranger"), 20);
     LONGS_EQUAL(0, tracker.durablePosition().value());
 }
--- a/tests/property/durability_tracker_property.cpp
+++ b/tests/property/durability_tracker_property.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// Draws from the whole range; by itself, inRange grows with the size of the case.
+std::uint64_t draw(std::uint64_t bound)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint64_t>(0, bound));
+}
+
 struct Seen
 {
     EndpointId endpoint;
@@ -45,7 +51,7 @@
         ManualClock clock;
         DurabilityTracker tracker(clock);
         std::vector<EndpointId> members;
-        for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
+        for (auto i = 1 + draw(5); i > 0; --i)
             members.emplace_back(std::to_string(i));
         Term term(1);
         LogPosition highest;
@@ -74,11 +80,11 @@
                 RC_ASSERT(waitTerm > term || !isMajority(reports, members, term, position));
             }
         };
-        const int steps = *rc::gen::inRange(0, 100);
-        for (int i = 0; i < steps; ++i) {
-            const LogPosition position(*rc::gen::inRange<std::uint64_t>(1, 12));
-            const Term near(term.value() + *rc::gen::inRange<std::uint64_t>(0, 3) - 1);
-            switch (*rc::gen::inRange(0, 10)) {
+        const auto steps = draw(100);
+        for (std::uint64_t i = 0; i < steps; ++i) {
+            const LogPosition position(1 + draw(11));
+            const Term near(term.value() + draw(3) - 1);
+            switch (draw(10)) {
             case 0:
                 if (near >= term) {
                     highest = near > term ? LogPosition() : highest;
@@ -90,17 +96,17 @@
             case 2:
             case 3: {
                 const Ticket ticket(++lastTicket);
-                const TimePoint deadline = clock.now() + Milliseconds(*rc::gen::inRange(1, 50));
+                const TimePoint deadline = clock.now() + Milliseconds(1 + draw(49));
                 waits[ticket] = {near, position, deadline};
                 tracker.wait(ticket, near, position, deadline);
                 break;
             }
             case 4:
-                clock.advance(Milliseconds(*rc::gen::inRange(0, 20)));
+                clock.advance(Milliseconds(draw(20)));
                 break;
             default: {
                 const EndpointId endpoint = *rc::gen::elementOf(members);
-                const Term entryTerm(near.value() - *rc::gen::inRange<std::uint64_t>(0, 2));
+                const Term entryTerm(near.value() - draw(2));
                 tracker.report(endpoint, {near, position, entryTerm});
                 if (near == term && entryTerm == term)
                     reports.push_back({endpoint, near, position});
--- a/tests/property/endpoint_pool_property.cpp
+++ b/tests/property/endpoint_pool_property.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// Draws from the whole range; by itself, inRange grows with the size of the case.
+int draw(int bound)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, bound));
+}
+
 /// Obeys the pool's commands and checks each of them.
 struct Driver
 {
@@ -102,31 +108,29 @@
 template <typename T>
 ConnectionId pick(const T &ids)
 {
-    return *std::next(ids.begin(), *rc::gen::inRange<int>(0, static_cast<int>(ids.size())));
+    return *std::next(ids.begin(), draw(static_cast<int>(ids.size())));
 }
 
 void Driver::step()
 {
-    const auto number = [](int bound) { return *rc::gen::inRange(0, bound); };
     const auto active = running();
-    switch (number(12)) {
+    switch (draw(12)) {
     case 0:
     case 1:
     case 2:
-        submit(number(2) ? "a" : "b", number(4), number(3), Milliseconds(number(400)),
-               number(3) == 0);
+        submit(draw(2) ? "a" : "b", draw(4), draw(3), Milliseconds(draw(400)), draw(3) == 0);
         break;
     case 3:
         if (!transactions.empty()) {
             const Ticket ticket(++lastTicket);
             waiting.insert(ticket);
             forTransaction[ticket] = true;
-            pool.submitPinned(pick(transactions), ticket, clock.now() + Milliseconds(number(300)));
+            pool.submitPinned(pick(transactions), ticket, clock.now() + Milliseconds(draw(300)));
         }
         break;
     case 4:
         if (lastTicket > 0) {
-            const Ticket ticket(lastTicket - number(static_cast<int>(std::min(lastTicket, 9UL))));
+            const Ticket ticket(lastTicket - draw(static_cast<int>(std::min(lastTicket, 9UL))));
             pool.cancel(ticket);
             waiting.erase(ticket);
         }
@@ -136,7 +140,7 @@
         if (!connecting.empty()) {
             const ConnectionId id = pick(connecting);
             connecting.erase(id);
-            if (number(3) > 0) {
+            if (draw(3) > 0) {
                 pool.handleConnected(id);
             } else {
                 forget(id);
@@ -147,10 +151,10 @@
     case 7:
     case 8:
         if (!active.empty())
-            finish(pick(active), static_cast<Finish>(number(3)));
+            finish(pick(active), static_cast<Finish>(draw(3)));
         break;
     case 9:
-        if (!open.empty() && number(3) == 0) {
+        if (!open.empty() && draw(3) == 0) {
             ConnectionId id = open.begin()->first;
             forget(id);
             pool.handleConnectionClosed(id);
@@ -159,12 +163,12 @@
         }
         break;
     case 10:
-        clock.advance(Milliseconds(number(10) == 0 ? 11000 : number(200)));
+        clock.advance(Milliseconds(draw(10) == 0 ? 11000 : draw(200)));
         pool.tick();
         break;
     default:
-        if (number(4) == 0)
-            pool.setDraining(number(3) == 0);
+        if (draw(4) == 0)
+            pool.setDraining(draw(3) == 0);
         break;
     }
     pump();
@@ -178,10 +182,9 @@
 
     // Guards against lost or doubled tickets, exceeded slots, and reuse of given-up connections.
     ok &= rc::check("each ticket starts or is rejected once on a valid connection", [] {
-        Driver driver({.slots = *rc::gen::inRange(1U, 4U),
-                       .maxConnections = *rc::gen::inRange(1U, 8U),
-                       .queueLimit = *rc::gen::inRange(0U, 8U)});
-        const int steps = *rc::gen::inRange(0, 150);
+        Driver driver(
+            {.slots = 1U + draw(3), .maxConnections = 1U + draw(7), .queueLimit = 0U + draw(8)});
+        const int steps = draw(150);
         for (int i = 0; i < steps; ++i)
             driver.step();
         for (const ConnectionId id : driver.running())
@@ -195,13 +198,12 @@
 
     // Guards against a flow that others starve by sending more.
     ok &= rc::check("a light flow starts within a bounded number of starts", [] {
-        const auto limit = *rc::gen::inRange(4U, 40U);
-        const auto weight = *rc::gen::inRange(1U, 6U);
+        const auto limit = 4U + draw(36);
+        const auto weight = 1U + draw(5);
         Driver driver({.slots = 1, .maxConnections = 2, .queueLimit = limit});
         const auto flood = [&] {
             for (std::uint32_t i = 0; i < limit; ++i)
-                driver.submit("heavy", weight, *rc::gen::inRange(0, 3), Milliseconds(100000),
-                              false);
+                driver.submit("heavy", weight, draw(3), Milliseconds(100000), false);
         };
         flood();
         driver.pump();
--- a/tests/property/write_attempt_property.cpp
+++ b/tests/property/write_attempt_property.cpp
@@ -4,6 +4,16 @@
 
 using namespace pistachiowood;
 
+namespace {
+
+/// Draws from the whole range; by itself, inRange grows with the size of the case.
+std::uint32_t draw(std::uint32_t bound)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, bound));
+}
+
+} // namespace
+
 int main()
 {
     // Guards against a false "not run", a commit without a majority, a second send of a
@@ -17,14 +27,16 @@
         bool majority = false; // a result of the term and position of the execution
         bool executed = false;
         std::optional<WriteResult> first;
-        const int steps = *rc::gen::inRange(0, 25);
-        for (int i = 0; i < steps; ++i) {
-            const auto attempt = write.attempt() - *rc::gen::inRange(0U, 2U);
+        const auto steps = draw(25);
+        for (std::uint32_t i = 0; i < steps; ++i) {
+            const auto attempt = write.attempt() - draw(2);
             const bool current = attempt == write.attempt();
             const WriteState before = write.state();
             const bool refusable = current && before == WriteState::Sent;
-            switch (*rc::gen::inRange(0, 8)) {
+            switch (draw(14)) { // most events are those that do not end the write
             case 0:
+            case 8:
+            case 9:
                 write.handleSending(attempt);
                 sends += before == WriteState::Queued && write.state() == WriteState::Sent;
                 break;
@@ -39,14 +51,15 @@
                 write.handleNotSent(attempt, fault);
                 break;
             case 4:
+            case 10:
                 write.handleExecuted(attempt, Term(3), LogPosition(7), "{}");
                 executed = executed || write.state() == WriteState::Executed;
                 break;
-            case 5: {
-                const DurabilityResult result{Ticket(1),
-                                              static_cast<Durability>(*rc::gen::inRange(0, 3)),
-                                              Term(*rc::gen::inRange<std::uint64_t>(2, 5)),
-                                              LogPosition(*rc::gen::inRange<std::uint64_t>(6, 9))};
+            case 5:
+            case 11: {
+                const DurabilityResult result{
+                    Ticket(1), draw(2) ? Durability::Durable : static_cast<Durability>(draw(3)),
+                    Term(2 + draw(2)), LogPosition(6 + draw(2))};
                 majority = majority
                            || (result.durability == Durability::Durable && result.term == Term(3)
                                && result.durable >= LogPosition(7));
@@ -54,7 +67,7 @@
                 break;
             }
             case 6:
-                if (*rc::gen::inRange(0, 4) == 0)
+                if (draw(4) == 0)
                     write.handleDeadline();
                 break;
             default: {
