--- a/include/pistachiowood/error.h
+++ b/include/pistachiowood/error.h
@@ -47,11 +47,20 @@
     return boost::leaf::new_error(Error{code, std::move(message)});
 }
 
+template <typename R>
+struct ResultValue;
+
+template <typename T>
+struct ResultValue<Result<T>>
+{
+    using Type = T;
+};
+
 /// Runs a function that returns Result<T> and turns its outcome into a variant.
 template <typename F>
 auto capture(F &&function)
 {
-    using T = typename std::decay_t<decltype(function())>::value_type;
+    using T = typename ResultValue<std::decay_t<decltype(function())>>::Type;
     using Stored = std::conditional_t<std::is_void_v<T>, std::monostate, T>;
     using Outcome = std::variant<Stored, Error>;
     return boost::leaf::try_handle_all(
--- /dev/null
+++ b/src/net/request_target_test.cpp
@@ -0,0 +1,35 @@
+#include "net/request_target.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+
+TEST_GROUP(RequestTarget){};
+
+// Guards against names that reach a handler with their percent-encoding.
+TEST(RequestTarget, decodesPathAndQuery)
+{
+    const auto target = parseRequestTarget("/v1/objects/Team/a%20b?expected_version=12&k=x%2Fy");
+    CHECK_TRUE(!!target);
+    CHECK_EQUAL(4, target->path.size());
+    CHECK_TRUE(target->path.back() == "a b");
+    CHECK_TRUE(target->queryText("k") == "x/y");
+    CHECK_EQUAL(12, target->queryUnsigned("expected_version").value().value());
+}
+
+// Guards against a malformed number that is read as 0, which would mean "create".
+TEST(RequestTarget, refusesMalformedNumber)
+{
+    CHECK_FALSE(!!parseRequestTarget("/a?n=12x")->queryUnsigned("n"));
+    CHECK_FALSE(!!parseRequestTarget("/a?n=-1")->queryUnsigned("n"));
+    CHECK_FALSE(parseRequestTarget("/a")->queryUnsigned("n").value().has_value());
+}
+
+// Guards against an exception for bytes that are no path.
+TEST(RequestTarget, refusesInvalidTarget)
+{
+    CHECK_FALSE(!!parseRequestTarget("no-slash"));
+    CHECK_FALSE(!!parseRequestTarget("/%zz"));
+}
