Let an event loop run again after stop() and write out the order of strong values

Cause: a test that sends several requests runs its loop once per request, but the second run() returned at once because the stop flag stayed set. clang-tidy reported modernize-use-nullptr in the generated body of the defaulted operator<=> of StrongValue wherever two ids were ordered. Change: run() clears the flag when it returns; operator<=> compares the wrapped values itself.

--- a/include/pistachiowood/strong_value.h
+++ b/include/pistachiowood/strong_value.h
@@ -23,7 +23,12 @@
 
     constexpr const T &value() const { return value_; }
 
-    friend auto operator<=>(const StrongValue &, const StrongValue &) = default;
+    friend constexpr bool operator==(const StrongValue &, const StrongValue &) = default;
+    // Not defaulted: clang-tidy's modernize-use-nullptr reports the 0 in the generated body.
+    friend constexpr auto operator<=>(const StrongValue &left, const StrongValue &right)
+    {
+        return left.value_ <=> right.value_;
+    }
 
 private:
     T value_{};
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -100,6 +100,7 @@
                                static_cast<suseconds_t>(wait.count() % 1000 * 1000));
         private_->reactor.handle_events(timeout);
     }
+    private_->stopped = false;
 }
 
 void EventLoop::stop()
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -23,7 +23,7 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Handles events until stop() is called.
+    /// Handles events until stop() is called; may be called again afterwards.
     void run();
     void stop();
 
