--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -18,7 +18,10 @@
     EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                             \
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                    \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                   \
-    EVENT(InvariantBroken, 1900, Fatal, "invariant broken")
+    EVENT(InvariantBroken, 1900, Fatal, "invariant broken")                                        \
+    EVENT(DatabaseStarted, 2010, Info, "database stand-in started")                                \
+    EVENT(DatabasePromoted, 2011, Info, "database stand-in is the primary of a term")              \
+    EVENT(DatabaseFollows, 2012, Info, "database stand-in follows a primary")
 
 enum class Event {
 #define PISTACHIOWOOD_EVENT_NAME(name, number, severity, message) name,
