--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,134 @@
+#include "daemon/daemon.h"
+
+#include <future>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr Milliseconds drainPollInterval{20};
+// The load balancer and the other daemons learn of the shutdown before the port closes.
+constexpr Milliseconds leaveNotice{500};
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+} // namespace
+
+struct Daemon::Private
+{
+    explicit Private(DaemonSettings daemonSettings)
+        : settings(std::move(daemonSettings))
+        , controlRandom(drawSeed())
+        , trafficRandom(drawSeed())
+        , control(controlLoop, clock, controlRandom, settings.control)
+        , traffic(trafficLoop, clock, trafficRandom, settings.traffic)
+    {
+        connectPlanes();
+    }
+
+    // The planes exchange immutable values through their loops.
+    void connectPlanes()
+    {
+        control.setTableHandler([this](std::shared_ptr<const RoutingTable> table) {
+            trafficLoop.post([this, table = std::move(table)] { traffic.setRoutingTable(table); });
+        });
+        control.setReportHandler([this](const EndpointId &endpoint, const EndpointReport &report) {
+            trafficLoop.post([this, endpoint, report] { traffic.observeReport(endpoint, report); });
+        });
+        traffic.setStatusRequester([this](const ServiceName &service) {
+            controlLoop.post([this, service] { control.requestStatus(service); });
+        });
+    }
+
+    std::optional<Error> startTraffic()
+    {
+        std::promise<std::optional<Error>> started;
+        trafficThread = std::thread([this, &started] {
+            const auto outcome = capture([this] { return traffic.start(); });
+            const auto *error = std::get_if<Error>(&outcome);
+            started.set_value(error ? std::optional(*error) : std::nullopt);
+            if (!error)
+                trafficLoop.run();
+        });
+        return started.get_future().get();
+    }
+
+    void beginDrain()
+    {
+        if (std::exchange(draining, true))
+            return;
+        logEvent(Event::DaemonDraining, {{"vm", settings.control.vm.value()}});
+        control.leave();
+        drainDeadline = clock.now() + settings.drainLimit;
+        trafficLoop.post([this] { traffic.drain(); });
+        controlLoop.startTimer(leaveNotice, [this] { pollDrain(); });
+    }
+
+    void pollDrain()
+    {
+        trafficLoop.post([this] {
+            const bool idle = traffic.isIdle();
+            controlLoop.post([this, idle] { finishDrain(idle); });
+        });
+    }
+
+    void finishDrain(bool idle)
+    {
+        if (idle || clock.now() >= drainDeadline)
+            controlLoop.stop();
+        else
+            controlLoop.startTimer(drainPollInterval, [this] { pollDrain(); });
+    }
+
+    SteadyClock clock;
+    DaemonSettings settings;
+    SeededRandom controlRandom;
+    SeededRandom trafficRandom;
+    EventLoop controlLoop;
+    EventLoop trafficLoop;
+    ControlPlane control;
+    TrafficPlane traffic;
+    std::thread trafficThread;
+    bool draining = false;
+    TimePoint drainDeadline;
+};
+
+Daemon::Daemon(DaemonSettings settings)
+    : private_(std::make_unique<Private>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon()
+{
+    private_->trafficLoop.stop();
+    if (private_->trafficThread.joinable())
+        private_->trafficThread.join();
+}
+
+Result<void> Daemon::run()
+{
+    if (const auto error = private_->startTraffic())
+        return makeError(error->code, error->message);
+    BOOST_LEAF_CHECK(private_->control.start());
+    logEvent(Event::DaemonStarted,
+             {{"vm", private_->settings.control.vm.value()},
+              {"zone", private_->settings.control.zone.value()},
+              {"callers", formatAddress(private_->settings.traffic.callerAddress)}});
+    private_->controlLoop.run();
+    logEvent(Event::DaemonStopped, {{"vm", private_->settings.control.vm.value()}});
+    return {};
+}
+
+void Daemon::shutdown()
+{
+    private_->controlLoop.post([this] { private_->beginDrain(); });
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/daemon/daemon_settings.h
@@ -0,0 +1,28 @@
+#ifndef PISTACHIOWOOD_DAEMON_DAEMON_SETTINGS_H
+#define PISTACHIOWOOD_DAEMON_DAEMON_SETTINGS_H
+
+#include "base/log.h"
+#include "base/settings.h"
+#include "daemon/control_plane.h"
+#include "daemon/traffic_plane.h"
+
+namespace pistachiowood {
+
+struct DaemonSettings
+{
+    ControlSettings control;
+    TrafficSettings traffic;
+    Milliseconds drainLimit{30000};
+    std::string adminCredentials;
+    Severity logLevel = Severity::Info;
+    bool helpRequested = false;
+    std::string helpText;
+};
+
+/// Reads flags and environment; the error names the setting and what it allows.
+Result<DaemonSettings> parseDaemonSettings(int argc, const char *const *argv,
+                                           const SettingsParser::Environment &environment);
+
+} // namespace pistachiowood
+
+#endif
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -62,6 +62,7 @@
     bool resolvedCommitted = false; ///< Resolve: the request id is in the log
     std::optional<TransactionId> transaction; ///< Begin: the new transaction
     EndpointRefusal refusal = EndpointRefusal::None;
+    bool ownerUnreachable = false; ///< no daemon has seen the attempt; not sent over the wire
     Error error; ///< reason unless Executed and durable
 };
 
--- a/src/rpc/traffic_rpc.cpp
+++ b/src/rpc/traffic_rpc.cpp
@@ -205,6 +205,7 @@
                 .then(finish, [finish, sent](kj::Exception &&failure) {
                     AttemptAnswer answer;
                     answer.state = *sent ? AttemptState::Uncertain : AttemptState::NotExecuted;
+                    answer.ownerUnreachable = !*sent;
                     answer.error = {*sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
                                     std::string("the owning daemon did not answer: ")
                                         + failure.getDescription().cStr()};
--- a/tools/database_standin/database_server.cpp
+++ b/tools/database_standin/database_server.cpp
@@ -332,14 +332,19 @@
 
     // Status, terms and long polls
 
+    json::object encodeStatus() const
+    {
+        return json::object{{"id", options.id.value()},
+                            {"promoter", log.promoter()},
+                            {"primary_contact_ms", log.primaryContact().count()},
+                            {"history", encodeHistory(log.history())},
+                            {"connections", admittedConnections},
+                            {"running", running}};
+    }
+
     Result<void> handleStatus(const Call &call)
     {
-        reply(call.respond, json::object{{"id", options.id.value()},
-                                         {"promoter", log.promoter()},
-                                         {"primary_contact_ms", log.primaryContact().count()},
-                                         {"history", encodeHistory(log.history())},
-                                         {"connections", admittedConnections},
-                                         {"running", running}});
+        reply(call.respond, encodeStatus());
         return {};
     }
 
@@ -364,7 +369,9 @@
         const bool granted = log.raiseTerm(Term(term), promoter);
         if (log.term() != fetchTerm)
             restartFetching();
-        reply(call.respond, json::object{{"granted", granted}});
+        json::object answer = encodeStatus();
+        answer["granted"] = granted;
+        reply(call.respond, answer);
         wakeWaiters();
         return {};
     }
@@ -378,7 +385,7 @@
             logEvent(
                 Event::DatabasePromoted,
                 {{"id", options.id.value()}, {"term", term}, {"position", log.position().value()}});
-        reply(call.respond, encodeResult(refusal));
+        replyWithStatus(call, refusal);
         wakeWaiters();
         return {};
     }
@@ -399,11 +406,19 @@
             primaryAddress = address;
             restartFetching();
         }
-        reply(call.respond, encodeResult(refusal));
+        replyWithStatus(call, refusal);
         wakeWaiters();
         return {};
     }
 
+    void replyWithStatus(const Call &call, const std::optional<Refusal> &refusal)
+    {
+        if (refusal)
+            reply(call.respond, encodeResult(refusal));
+        else
+            reply(call.respond, encodeStatus());
+    }
+
     static Result<std::string> requirePromoter(const json::object &body)
     {
         BOOST_LEAF_AUTO(promoter, requireString(body, "promoter"));
--- a/tools/database_standin/replica_log.cpp
+++ b/tools/database_standin/replica_log.cpp
@@ -338,6 +338,8 @@
     role_ = EndpointRole::Primary;
     matched_ = true;
     promotedAt_ = clock_.now();
+    // Entries of older terms count as held by a majority only below an entry of this term.
+    append({term_, {}, false, {}, nullptr});
     return std::nullopt;
 }
 
--- a/tools/database_standin/replica_log.h
+++ b/tools/database_standin/replica_log.h
@@ -56,7 +56,8 @@
     return kind == OperationKind::Put || kind == OperationKind::Append;
 }
 
-/// One log entry; a transaction is one entry with several operations.
+/// One log entry; a transaction is one entry with several operations. A promotion writes an entry
+/// without operations, so that a majority can hold an entry of the new term at once.
 struct LogEntry
 {
     Term term;
