--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -6,8 +6,6 @@
 #include <atomic>
 #include <cstdlib>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace pistachiowood {
 
 namespace {
--- a/src/rpc/traffic_rpc.cpp
+++ b/src/rpc/traffic_rpc.cpp
@@ -202,15 +202,18 @@
         context.run(
             context.timer()
                 .timeoutAfter(limit, kj::mv(call))
-                .then(finish, [finish, sent](kj::Exception &&failure) {
-                    AttemptAnswer answer;
-                    answer.state = *sent ? AttemptState::Uncertain : AttemptState::NotExecuted;
-                    answer.ownerUnreachable = !*sent;
-                    answer.error = {*sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
-                                    std::string("the owning daemon did not answer: ")
-                                        + failure.getDescription().cStr()};
-                    finish(answer);
-                }));
+                // kj keeps a reference to a functor that is an lvalue, so both are temporaries.
+                .then(
+                    [finish](AttemptAnswer answer) { finish(std::move(answer)); },
+                    [finish, sent](kj::Exception &&failure) {
+                        AttemptAnswer answer;
+                        answer.state = *sent ? AttemptState::Uncertain : AttemptState::NotExecuted;
+                        answer.ownerUnreachable = !*sent;
+                        answer.error = {*sent ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
+                                        std::string("the owning daemon did not answer: ")
+                                            + failure.getDescription().cStr()};
+                        finish(answer);
+                    }));
     });
 }
 
