--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -34,6 +34,7 @@
     std::string region;
     std::string tokenKey;
     std::string previousTokenKey;
+    std::string addressOverrides;
     std::string logLevel = "info";
     std::string replicaPreference = "region";
     std::int64_t maxCallers = 8192;
@@ -68,6 +69,9 @@
                    "secret that is still accepted while the key is rotated");
     parser.addText("admin-credentials", settings.adminCredentials,
                    "bearer credentials as token:team:role,...");
+    parser.addText(
+        "address-overrides", raw.addressOverrides,
+        "outgoing connections as address=via,... where an address is reached through another one");
     parser.addChoice("log-level", raw.logLevel, listChoices(logLevels),
                      "lowest severity that is logged");
     parser.addChoice("replica-preference", raw.replicaPreference, listChoices(replicaPreferences),
@@ -94,6 +98,7 @@
     if (raw.tokenKey.size() < shortestTokenKey)
         return makeError(ErrorCode::InvalidArgument,
                          "setting --token-key must have at least 16 characters");
+    BOOST_LEAF_ASSIGN(settings.addressOverrides, parseAddressOverrides(raw.addressOverrides));
     settings.control.vm = VmId(raw.vm);
     settings.control.zone = ZoneName(raw.zone);
     settings.control.region = RegionName(raw.region);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 #include "daemon/control_plane.h"
 #include "daemon/traffic_plane.h"
+#include "net/address_overrides.h"
 
 namespace pistachiowood {
 
@@ -13,6 +14,7 @@
     ControlSettings control;
     TrafficSettings traffic;
     Milliseconds drainLimit{30000};
+    AddressOverrides addressOverrides;
     std::string adminCredentials;
     Severity logLevel = Severity::Info;
     bool helpRequested = false;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,3 +1,4 @@
+#include "net/address_overrides.h"
 #include "net/http_codec.h"
 
 #include <ace/Event_Handler.h>
@@ -36,8 +37,9 @@
 
     void startConnect()
     {
+        const SocketAddress &target = overriddenAddress(address);
         ACE_INET_Addr remote;
-        if (remote.set(address.port, address.host.c_str(), 1, AF_INET) != 0) {
+        if (remote.set(target.port, target.host.c_str(), 1, AF_INET) != 0) {
             failLater(HttpFailure::Kind::ConnectFailed, "invalid address " + address.host);
             return;
         }
--- a/src/rpc/rpc_host.cpp
+++ b/src/rpc/rpc_host.cpp
@@ -1,5 +1,7 @@
 #include "rpc/rpc_host.h"
 
+#include "net/address_overrides.h"
+
 #include <capnp/rpc-twoparty.h>
 #include <kj/async.h>
 
@@ -96,7 +98,8 @@
         const std::string key = addressText(peer);
         if (const auto found = connections_.find(key); found != connections_.end())
             return found->second->bootstrap.addBranch();
-        auto connection = kj::heap<Connection>(open(key).fork());
+        auto connection =
+            kj::heap<Connection>(open(key, addressText(overriddenAddress(peer))).fork());
         auto branch = connection->bootstrap.addBranch();
         connections_.emplace(key, kj::mv(connection));
         return branch;
@@ -128,9 +131,9 @@
         capnp::TwoPartyClient client;
     };
 
-    kj::Promise<capnp::Capability::Client> open(const std::string &key)
+    kj::Promise<capnp::Capability::Client> open(const std::string &key, const std::string &target)
     {
-        auto connecting = io_.provider->getNetwork().parseAddress(key).then(
+        auto connecting = io_.provider->getNetwork().parseAddress(target).then(
             [](kj::Own<kj::NetworkAddress> address) {
                 return address->connect().attach(kj::mv(address));
             });
--- a/tools/database_standin/main.cpp
+++ b/tools/database_standin/main.cpp
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "database_standin/database_server.h"
+#include "net/address_overrides.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -33,7 +34,8 @@
         "replication-delay-ms", "delay before a replica applies what it received",
         number("0"))("fetch-interval-ms", "pause between two fetches of the log", number("0"))(
         "fetch-wait-ms", "how long the primary holds a fetch when nothing is new",
-        number("200"))("help", "print this text");
+        number("200"))("address-overrides", "outgoing connections as address=via,...",
+                       text(""))("help", "print this text");
     return options;
 }
 
@@ -53,6 +55,11 @@
     };
     if (!parsed.count("id") || parsed["id"].as<std::string>().empty())
         throw cxxopts::exceptions::parsing("option --id must be present and not empty");
+    const auto overrides = capture(
+        [&] { return parseAddressOverrides(parsed["address-overrides"].as<std::string>()); });
+    if (const auto *error = std::get_if<Error>(&overrides))
+        throw cxxopts::exceptions::parsing("option --address-overrides: " + error->message);
+    setAddressOverrides(std::get<AddressOverrides>(overrides));
     standin::DatabaseOptions options;
     options.id = EndpointId(parsed["id"].as<std::string>());
     options.address = {parsed["host"].as<std::string>(),
--- a/tools/pistachiowoodd/main.cpp
+++ b/tools/pistachiowoodd/main.cpp
@@ -15,6 +15,7 @@
 int runDaemon(DaemonSettings settings)
 {
     initializeLogging(settings.logLevel);
+    setAddressOverrides(settings.addressOverrides);
     // A thread of its own waits for the signals, so that no code runs inside a signal handler.
     sigset_t signals;
     sigemptyset(&signals);
