--- /dev/null
+++ b/src/administration/credentials.h
@@ -0,0 +1,72 @@
+#ifndef PISTACHIOWOOD_ADMINISTRATION_CREDENTIALS_H
+#define PISTACHIOWOOD_ADMINISTRATION_CREDENTIALS_H
+
+#include "configuration/configuration_store.h"
+
+#include <pistachiowood/error.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace pistachiowood {
+
+/// Each role includes the ones before it.
+enum class AccessRole { Viewer, Operator, Admin };
+
+std::string_view accessRoleName(AccessRole role);
+
+/// What a request may see and change.
+struct Access
+{
+    AccessRole role = AccessRole::Viewer;
+    std::optional<TeamName> team; ///< nullopt: all teams
+
+    bool coversTeam(const std::optional<TeamName> &owner) const { return !team || team == owner; }
+};
+
+/// Bearer credentials of the administration API. Only digests are kept, and no message repeats any
+/// part of a credential.
+class CredentialList
+{
+public:
+    /// Parses "token:team:role,..."; the team "*" stands for all teams. An error names the entry by
+    /// its number.
+    static Result<CredentialList> parse(std::string_view text);
+
+    bool empty() const { return entries_.empty(); }
+    /// Without any configured credential, every request has full access.
+    Result<Access> authenticate(std::string_view bearer) const;
+
+private:
+    using Digest = std::array<std::uint8_t, 32>;
+    struct Entry
+    {
+        Digest digest{};
+        Access access;
+    };
+
+    static Result<Entry> parseEntry(std::string_view text, std::size_t number);
+    static Digest computeDigest(std::string_view token);
+    const Entry *findEntry(const Digest &digest) const;
+
+    std::vector<Entry> entries_;
+};
+
+/// Logs a warning when no credential is configured; called at start.
+void logAccessMode(const CredentialList &credentials);
+
+/// Team that an object belongs to; an endpoint or status belongs to the team of its service.
+/// nullopt when that service does not exist.
+std::optional<TeamName> teamOf(const ObjectValue &value, const ConfigurationView &view);
+
+bool maySee(const Access &access, const ObjectValue &value, const ConfigurationView &view);
+/// PermissionDenied with the reason when the access does not allow changing the object.
+Result<void> checkMayChange(const Access &access, const ObjectValue &value,
+                            const ConfigurationView &view);
+
+} // namespace pistachiowood
+
+#endif
