--- a/src/administration/credentials.cpp
+++ b/src/administration/credentials.cpp
@@ -47,7 +47,8 @@
         return list;
     std::size_t number = 0;
     for (const std::string_view part : splitText(text, ',')) {
-        BOOST_LEAF_AUTO(entry, parseEntry(part, ++number));
+        Entry entry;
+        BOOST_LEAF_CHECK(parseEntry(part, ++number, entry));
         if (list.findEntry(entry.digest))
             return entryError(number, "repeats the token of an earlier entry");
         list.entries_.push_back(std::move(entry));
@@ -55,7 +56,7 @@
     return list;
 }
 
-Result<CredentialList::Entry> CredentialList::parseEntry(std::string_view text, std::size_t number)
+Result<void> CredentialList::parseEntry(std::string_view text, std::size_t number, Entry &entry)
 {
     const auto parts = splitText(text, ':');
     if (parts.size() != 3)
@@ -71,12 +72,11 @@
     const auto role = std::find(roleNames.begin(), roleNames.end(), parts[2]);
     if (role == roleNames.end())
         return entryError(number, "must end with the role viewer, operator or admin");
-    Entry entry;
     entry.digest = computeDigest(parts[0]);
     entry.access.role = static_cast<AccessRole>(role - roleNames.begin());
     if (parts[1] != "*")
         entry.access.team = TeamName(std::string(parts[1]));
-    return entry;
+    return {};
 }
 
 CredentialList::Digest CredentialList::computeDigest(std::string_view token)
--- a/src/administration/credentials.h
+++ b/src/administration/credentials.h
@@ -48,7 +48,7 @@
         Access access;
     };
 
-    static Result<Entry> parseEntry(std::string_view text, std::size_t number);
+    static Result<void> parseEntry(std::string_view text, std::size_t number, Entry &entry);
     static Digest computeDigest(std::string_view token);
     const Entry *findEntry(const Digest &digest) const;
 
