Expect the entry of a promotion in the database stand-in's tests

Cause: promote now appends one entry without operations in its term, since only entries of the current term prove that replicas share the primary's prefix. Ten tests counted positions without it, so every promotion moves their exact positions up by one; the checks stay exact. Three waits that still passed had lost their meaning and move as well: the two polls that let the server see a close returned at once because the position was already above 0, and the wait for three replicated writes ended after the second. The test of dropped terms fetches two entries instead of one, so that term 2 again begins exactly one entry above the promoted log.

--- a/tools/database_standin/database_server_test.cpp
+++ b/tools/database_standin/database_server_test.cpp
@@ -119,7 +119,7 @@
     CHECK_EQUAL(std::string("too_many_connections"), refused.code());
     CHECK_TRUE(send(*second, "/v1/status", "").body.at("connections") == 1);
     first.reset();
-    send(*second, "/v1/position?term=1&above=0&wait_ms=20", ""); // lets the server see the close
+    send(*second, "/v1/position?term=1&above=1&wait_ms=20", ""); // lets the server see the close
     CHECK_EQUAL(200, send(*second, "/v1/statements", read).status);
 }
 
@@ -136,8 +136,8 @@
     const auto crossed = send(*second, "/v1/transactions/commit", R"({"term":1})");
     CHECK_EQUAL(std::string("transaction_lost"), crossed.code());
     first.reset();
-    const auto position = send(*second, "/v1/position?term=1&above=0&wait_ms=50", "");
-    CHECK_TRUE(position.body.at("position") == 0);
+    const auto position = send(*second, "/v1/position?term=1&above=1&wait_ms=50", "");
+    CHECK_TRUE(position.body.at("position") == 1); // the entry of the promotion
     CHECK_TRUE(send(*second, "/v1/status", "").body.at("connections") == 1);
 }
 
@@ -157,8 +157,8 @@
     for (int value = 0; value < 3; ++value)
         send(*toPrimary, "/v1/statements",
              statement(R"("kind":"write","statement":{"op":"append","key":"k","value":"\"x"})"));
-    const auto caughtUp = send(*toReplica, "/v1/position?term=1&above=2&wait_ms=3000", "");
-    CHECK_TRUE(caughtUp.body.at("position") == 3);
+    const auto caughtUp = send(*toReplica, "/v1/position?term=1&above=3&wait_ms=3000", "");
+    CHECK_TRUE(caughtUp.body.at("position") == 4); // the promotion and three writes
     CHECK_TRUE(caughtUp.body.at("matched").as_bool());
     const auto read = send(*toReplica, "/v1/statements",
                            statement(R"("kind":"read","statement":{"op":"get","key":"k"})"));
@@ -167,11 +167,79 @@
     CHECK_TRUE(read.body.at("age_ms").as_int64() < patience.count());
     send(*toReplica, "/standin/faults", R"({"freeze_replication":true})");
     send(*toPrimary, "/v1/requests/resolve", R"({"term":1,"request_id":"r"})");
-    const auto frozen = send(*toReplica, "/v1/position?term=1&above=3&wait_ms=200", "");
-    CHECK_TRUE(frozen.body.at("position") == 3);
+    const auto frozen = send(*toReplica, "/v1/position?term=1&above=4&wait_ms=200", "");
+    CHECK_TRUE(frozen.body.at("position") == 4);
     send(*toReplica, "/standin/faults", R"({"freeze_replication":false})");
-    const auto thawed = send(*toReplica, "/v1/position?term=1&above=3&wait_ms=3000", "");
-    CHECK_TRUE(thawed.body.at("position") == 4);
+    const auto thawed = send(*toReplica, "/v1/position?term=1&above=4&wait_ms=3000", "");
+    CHECK_TRUE(thawed.body.at("position") == 5);
+}
+
+// Guards against a promotion after which nothing becomes durable before the first write: the entry
+// without operations must pass the replication encoding.
+TEST(DatabaseServer, followerReachesNewTermWithoutStatements)
+{
+    const auto primary = startPrimary(fastOptions("a"));
+    DatabaseServer replica(loop, clock, fastOptions("b"));
+    CHECK_TRUE(!!replica.listen());
+    const auto toPrimary = connect(*primary);
+    const auto toReplica = connect(replica);
+    const auto follow = [&](std::uint64_t term) {
+        const json::object body{
+            {"term", term},
+            {"primary", "a"},
+            {"primary_address", "127.0.0.1:" + std::to_string(primary->port())}};
+        CHECK_EQUAL(200, send(*toReplica, "/v1/follow", json::serialize(body)).status);
+    };
+    follow(1);
+    const auto first = send(*toReplica, "/v1/position?term=1&above=0&wait_ms=3000", "");
+    CHECK_TRUE(first.body.at("position") == 1);
+    CHECK_TRUE(first.body.at("last_entry_term") == 1);
+    const std::string grant = R"({"term":2,"promoter":"p"})";
+    CHECK_EQUAL(200, send(*toPrimary, "/v1/raise_term", grant).status);
+    CHECK_EQUAL(200, send(*toPrimary, "/v1/promote", grant).status);
+    follow(2);
+    const auto second = send(*toReplica, "/v1/position?term=2&above=1&wait_ms=3000", "");
+    CHECK_TRUE(second.body.at("position") == 2);
+    CHECK_TRUE(second.body.at("last_entry_term") == 2);
+    CHECK_TRUE(second.body.at("matched").as_bool());
+    const auto count = send(*toReplica, "/v1/statements",
+                            R"({"term":2,"kind":"read","statement":{"op":"count"}})");
+    CHECK_TRUE(count.body.at("result") == 0);
+}
+
+// Guards against a promoter that has to ask again for the history on which it bases its decision.
+TEST(DatabaseServer, termRequestsAnswerWithStatus)
+{
+    const auto server = startPrimary(fastOptions("a"));
+    const auto connection = connect(*server);
+    const auto checkStatus = [](const Answered &answered, const char *promoter,
+                                const char *history) {
+        CHECK_EQUAL(200, answered.status);
+        CHECK_EQUAL(std::string("a"), std::string(answered.body.at("id").as_string()));
+        CHECK_EQUAL(std::string(promoter), std::string(answered.body.at("promoter").as_string()));
+        CHECK_EQUAL(std::string(history), json::serialize(answered.body.at("history")));
+        for (const char *field : {"primary_contact_ms", "connections", "running"})
+            CHECK_TEXT(answered.body.contains(field), field);
+    };
+    const char *oneTerm = R"([{"term":1,"start":0}])";
+    const char *twoTerms = R"([{"term":1,"start":0},{"term":2,"start":1}])";
+    const std::string grant = R"({"term":2,"promoter":"q"})";
+    const auto refused = send(*connection, "/v1/raise_term", R"({"term":1,"promoter":"q"})");
+    checkStatus(refused, "p", oneTerm);
+    CHECK_FALSE(refused.body.at("granted").as_bool());
+    const auto granted = send(*connection, "/v1/raise_term", grant);
+    checkStatus(granted, "q", oneTerm);
+    CHECK_TRUE(granted.body.at("granted").as_bool());
+    CHECK_TRUE(granted.body.at("position") == 1);
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto promoted = send(*connection, "/v1/promote", grant);
+        checkStatus(promoted, "q", twoTerms);
+        CHECK_TRUE(promoted.body.at("position") == 2);
+        CHECK_TRUE(promoted.body.at("last_entry_term") == 2);
+    }
+    const auto follows = send(*connection, "/v1/follow",
+                              R"({"term":3,"primary":"b","primary_address":"127.0.0.1:1"})");
+    checkStatus(follows, "", twoTerms);
 }
 
 // Guards against statements that run without a slot, which would hide overload.
--- a/tools/database_standin/replica_log_test.cpp
+++ b/tools/database_standin/replica_log_test.cpp
@@ -94,7 +94,7 @@
     CHECK_TRUE(a.raiseTerm(Term(3), "q"));
     checkRefused(RefusalCode::StaleTerm, append(a, 2, 1));
     checkRefused(RefusalCode::NotPrimary, append(a, 3, 1));
-    CHECK_EQUAL(0, a.position().value());
+    CHECK_EQUAL(1, a.position().value()); // the entry of the promotion
 }
 
 // Guards against two promoters that both hold the grant of one term.
@@ -126,6 +126,50 @@
     CHECK_TRUE(b.isPrimary());
 }
 
+// Guards against a term without an entry of its own, in which no position becomes durable before
+// the first write, and against a repeated promote that writes a second entry.
+TEST(ReplicaLog, promotionWritesOneEntry)
+{
+    promote(a, 1);
+    append(a, 1, 1);
+    replicate(a, b);
+    CHECK_TRUE(b.raiseTerm(Term(2), "p"));
+    CHECK_TRUE(b.promote(Term(2), "q")->code == RefusalCode::Conflict);
+    CHECK_EQUAL(2, b.position().value());
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        CHECK_FALSE(b.promote(Term(2), "p").has_value());
+        CHECK_EQUAL(3, b.position().value());
+        CHECK_EQUAL(2, b.report().lastEntryTerm.value());
+        // The term begins below its entry.
+        CHECK_TRUE(
+            b.history()
+            == std::vector<TermStart>({{Term(1), LogPosition(0)}, {Term(2), LogPosition(2)}}));
+    }
+    CHECK_FALSE(a.follow(Term(2), b.id()).has_value());
+    const LogBatch batch = valueOf(b.readLog(*a.nextQuery()));
+    CHECK_EQUAL(1, batch.entries.size());
+    const LogEntry &entry = batch.entries.front();
+    CHECK_EQUAL(2, entry.term.value());
+    CHECK_TRUE(entry.operations.empty() && entry.requestId.value().empty() && !entry.refused);
+    CHECK_EQUAL(std::string("[1]"), get(b));
+}
+
+// Guards against an entry of a promotion that outlives its term or hides a divergent log.
+TEST(ReplicaLog, truncatesEntryOfOlderPromotion)
+{
+    promote(a, 1);
+    append(a, 1, 1);
+    replicate(a, b);
+    promote(a, 2); // the entry reaches nobody
+    promote(b, 3);
+    CHECK_EQUAL(3, a.position().value());
+    CHECK_EQUAL(3, b.position().value());
+    CHECK_EQUAL(2, replicate(b, a)); // one fetch truncates, one appends
+    CHECK_EQUAL(3, a.report().lastEntryTerm.value());
+    CHECK_TRUE(a.history() == b.history());
+    CHECK_EQUAL(std::string("[1]"), get(a));
+}
+
 // Guards against a returning primary that keeps or serves its unreplicated tail.
 TEST(ReplicaLog, truncatesDivergentTail)
 {
@@ -163,7 +207,7 @@
     append(a, 9, 9);
     CHECK_TRUE(replicate(a, c) <= 6);
     CHECK_EQUAL(get(a), get(c));
-    CHECK_EQUAL(51, c.position().value());
+    CHECK_EQUAL(53, c.position().value()); // 51 writes and a's two promotions
 }
 
 // Guards against truncation by a message of an older term or by another endpoint.
@@ -180,7 +224,7 @@
     CHECK_FALSE(b.applyBatch(batch, clock.now())); // an older term
     batch.term = Term(2);
     CHECK_FALSE(b.applyBatch(batch, clock.now())); // not the followed primary
-    CHECK_EQUAL(1, b.position().value());
+    CHECK_EQUAL(2, b.position().value());
 }
 
 // Guards against a request that runs twice after a promotion, or is called a duplicate although its
@@ -195,7 +239,7 @@
     const auto again = valueOf(append(b, 2, 1, "kept"));
     CHECK_TRUE(again.duplicate);
     CHECK_TRUE(again.result == 1);
-    CHECK_EQUAL(1, again.entryPosition.value());
+    CHECK_EQUAL(2, again.entryPosition.value());
     replicate(b, a);
     promote(a, 3);
     CHECK_TRUE(valueOf(append(a, 3, 1, "kept")).duplicate);
@@ -212,7 +256,7 @@
     CHECK_TRUE(done.committed && done.result == 1);
     const auto refused = valueOf(a.resolve(Term(1), RequestId("late")));
     CHECK_FALSE(refused.committed);
-    CHECK_EQUAL(2, refused.entryPosition.value());
+    CHECK_EQUAL(3, refused.entryPosition.value());
     replicate(a, b);
     promote(b, 2);
     checkRefused(RefusalCode::RefusedRequest, append(b, 2, 1, "late"));
@@ -230,9 +274,9 @@
     append(a, 1, 1, "", true);
     append(a, 1, 2, "", true);
     CHECK_EQUAL(std::string("[1,2]"), get(a, true));
-    CHECK_EQUAL(0, a.position().value());
+    CHECK_EQUAL(1, a.position().value()); // the entry of the promotion
     const auto first = valueOf(a.commit(anyConnection, Term(1), RequestId("t")));
-    CHECK_EQUAL(1, a.position().value());
+    CHECK_EQUAL(2, a.position().value());
     const auto again = valueOf(a.commit(anyConnection, Term(1), RequestId("t")));
     CHECK_TRUE(again.duplicate && again.result == first.result);
     CHECK_EQUAL(std::string("[1,2]"), get(a));
@@ -249,7 +293,7 @@
     a.execute(otherConnection, {Term(1), {OperationKind::Put, "k", "text"}, RequestId(), false});
     checkRefused(RefusalCode::InvalidArgument, a.commit(anyConnection, Term(1), RequestId("t")));
     CHECK_TRUE(valueOf(run(a, 1, {OperationKind::Count, "", {}})).result == 1);
-    CHECK_EQUAL(1, a.position().value());
+    CHECK_EQUAL(2, a.position().value()); // the promotion and the other connection's write
 }
 
 // Guards against a transaction that survives its connection or its term.
@@ -266,7 +310,7 @@
     checkRefused(RefusalCode::StaleTerm, a.commit(anyConnection, Term(1), RequestId()));
     checkRefused(RefusalCode::TransactionLost, append(a, 2, 1, "", true));
     checkRefused(RefusalCode::TransactionLost, a.commit(anyConnection, Term(2), RequestId()));
-    CHECK_EQUAL(0, a.position().value());
+    CHECK_EQUAL(2, a.position().value()); // the entries of the two promotions
 }
 
 // Guards against an isolated primary and its followers that report fresh data.
@@ -323,9 +367,9 @@
     promote(a, 2);
     CHECK_FALSE(b.follow(Term(2), a.id()).has_value());
     auto query = *b.nextQuery();
-    query.maxEntries = 1;
+    query.maxEntries = 2; // one entry less than a held when term 2 began
     CHECK_TRUE(b.applyBatch(valueOf(a.readLog(query)), clock.now()));
     promote(b, 3);
     CHECK_TRUE(b.history()
-               == std::vector<TermStart>({{Term(1), LogPosition(0)}, {Term(3), LogPosition(1)}}));
+               == std::vector<TermStart>({{Term(1), LogPosition(0)}, {Term(3), LogPosition(2)}}));
 }
