--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -12,51 +12,55 @@
 // 1200 sessions and routing, 1300 pools, 1400 writes, 1500 primary, 1600 membership,
 // 1700 configuration, 1800 administration, 1900 broken invariants, 2000 stand-ins and tools.
 // docs/events.md holds the same table; a test compares them.
-#define PISTACHIOWOOD_EVENTS(EVENT) \
-    EVENT(DaemonStarted, 1000, Info, "daemon started") \
-    EVENT(DaemonDraining, 1001, Info, "daemon is draining; new work is refused") \
-    EVENT(DaemonStopped, 1002, Info, "daemon stopped") \
-    EVENT(SettingsInvalid, 1003, Error, "settings are invalid") \
-    EVENT(ListenFailed, 1100, Error, "cannot listen on address") \
-    EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed") \
-    EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused") \
-    EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again") \
-    EVENT(TransactionClosed, 1303, Info, "transaction closed by the pool") \
-    EVENT(PrimarySuspected, 1500, Warning, "primary is suspected") \
-    EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected") \
-    EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed") \
-    EVENT(PromotionStarted, 1503, Info, "promotion started") \
-    EVENT(PromotionStepFailed, 1504, Warning, "promotion gave up in a step") \
-    EVENT(PromotionCompleted, 1505, Info, "promotion completed") \
-    EVENT(PromotionAbandoned, 1506, Info, "promotion abandoned") \
-    EVENT(SwitchoverDue, 1507, Info, "planned switchover is due") \
-    EVENT(SwitchoverStarted, 1508, Info, "planned switchover started; admission stops") \
-    EVENT(SwitchoverTimedOut, 1509, Warning, "planned switchover timed out; admission resumes") \
-    EVENT(PrimaryAdopted, 1510, Info, "primary of a newer term adopted from probes") \
-    EVENT(PromotionHeldDown, 1511, Info, "promotion waits for the hold-down") \
-    EVENT(StatusPublishFailed, 1512, Warning, "service status could not be published; trying again") \
-    EVENT(MemberAlive, 1600, Info, "member is alive") \
-    EVENT(MemberJoined, 1600, Info, "member joined") \
-    EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected") \
-    EVENT(MemberDead, 1602, Warning, "member is considered dead") \
-    EVENT(MemberLeaving, 1603, Info, "member is leaving") \
-    EVENT(MemberRefuted, 1604, Info, "this daemon refuted a report that it had failed") \
-    EVENT(MembershipMessageRefused, 1605, Warning, "membership message refused") \
-    EVENT(ConfigurationApplied, 1700, Info, "configuration applied") \
-    EVENT(ConfigurationRefused, 1701, Warning, "older configuration refused") \
-    EVENT(ObjectInvalid, 1702, Error, "object is invalid; the previous version stays in force") \
-    EVENT(ObjectRefused, 1703, Debug, "older version of an object refused") \
-    EVENT(PlatformUnavailable, 1704, Warning, "platform does not answer; last known configuration stays in force") \
-    EVENT(PlatformRecovered, 1705, Info, "platform answers again") \
-    EVENT(ConfigurationRelisted, 1706, Info, "watch position is too old; listing again") \
-    EVENT(ConfigurationFromPeer, 1707, Info, "configuration taken from a peer") \
-    EVENT(ChangeUndetermined, 1708, Warning, "result of a configuration change is not known") \
-    EVENT(ChangeAccepted, 1801, Info, "configuration change accepted") \
-    EVENT(AdministrationDenied, 1802, Warning, "administration request denied") \
-    EVENT(DaemonDrainRequested, 1803, Info, "drain of this daemon requested by an operator") \
-    EVENT(InvariantBroken, 1900, Fatal, "invariant broken") \
-    EVENT(DatabaseStarted, 2010, Info, "database stand-in started") \
-    EVENT(DatabasePromoted, 2011, Info, "database stand-in is the primary of a term") \
+#define PISTACHIOWOOD_EVENTS(EVENT)                                                                        \
+    EVENT(DaemonStarted, 1000, Info, "daemon started")                                                     \
+    EVENT(DaemonDraining, 1001, Info, "daemon is draining; new work is refused")                           \
+    EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                                     \
+    EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                            \
+    EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                           \
+    EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
+    EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
+    EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
+    EVENT(TransactionClosed, 1303, Info, "transaction closed by the pool")                                 \
+    EVENT(PrimarySuspected, 1500, Warning, "primary is suspected")                                         \
+    EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected")                           \
+    EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed")                                        \
+    EVENT(PromotionStarted, 1503, Info, "promotion started")                                               \
+    EVENT(PromotionStepFailed, 1504, Warning, "promotion gave up in a step")                               \
+    EVENT(PromotionCompleted, 1505, Info, "promotion completed")                                           \
+    EVENT(PromotionAbandoned, 1506, Info, "promotion abandoned")                                           \
+    EVENT(SwitchoverDue, 1507, Info, "planned switchover is due")                                          \
+    EVENT(SwitchoverStarted, 1508, Info, "planned switchover started; admission stops")                    \
+    EVENT(SwitchoverTimedOut, 1509, Warning, "planned switchover timed out; admission resumes")            \
+    EVENT(PrimaryAdopted, 1510, Info, "primary of a newer term adopted from probes")                       \
+    EVENT(PromotionHeldDown, 1511, Info, "promotion waits for the hold-down")                              \
+    EVENT(StatusPublishFailed, 1512, Warning,                                                              \
+          "service status could not be published; trying again")                                           \
+    EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
+    EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
+    EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
+    EVENT(MemberLeaving, 1603, Info, "member is leaving")                                                  \
+    EVENT(MemberRefuted, 1604, Info, "this daemon refuted a report that it had failed")                    \
+    EVENT(MembershipMessageRefused, 1605, Warning, "membership message refused")                           \
+    EVENT(ConfigurationApplied, 1700, Info, "configuration applied")                                       \
+    EVENT(ConfigurationRefused, 1701, Warning, "older configuration refused")                              \
+    EVENT(ObjectInvalid, 1702, Error, "object is invalid; the previous version stays in force")            \
+    EVENT(ObjectRefused, 1703, Debug, "older version of an object refused")                                \
+    EVENT(PlatformUnavailable, 1704, Warning,                                                              \
+          "platform does not answer; last known configuration stays in force")                             \
+    EVENT(PlatformRecovered, 1705, Info, "platform answers again")                                         \
+    EVENT(ConfigurationRelisted, 1706, Info, "watch position is too old; listing again")                   \
+    EVENT(ConfigurationFromPeer, 1707, Info, "configuration taken from a peer")                            \
+    EVENT(ChangeUndetermined, 1708, Warning, "result of a configuration change is not known")              \
+    EVENT(                                                                                                 \
+        AdministrationOpen, 1800, Warning,                                                                 \
+        "no administration credentials are configured; every request is allowed; listen on loopback only") \
+    EVENT(ChangeAccepted, 1801, Info, "configuration change accepted")                                     \
+    EVENT(AdministrationDenied, 1802, Warning, "administration request denied")                            \
+    EVENT(DaemonDrainRequested, 1803, Info, "drain of this daemon requested by an operator")               \
+    EVENT(InvariantBroken, 1900, Fatal, "invariant broken")                                                \
+    EVENT(DatabaseStarted, 2010, Info, "database stand-in started")                                        \
+    EVENT(DatabasePromoted, 2011, Info, "database stand-in is the primary of a term")                      \
     EVENT(DatabaseFollows, 2012, Info, "database stand-in follows a primary")
 
 enum class Event {
--- /dev/null
+++ b/src/daemon/admin_server.cpp
@@ -0,0 +1,52 @@
+#include "daemon/admin_server.h"
+
+#include "base/json.h"
+#include "burn/snapshot_codec.h"
+
+#include <string>
+
+namespace pistachiowood {
+
+AdminServer::AdminServer(EventLoop &loop, AdministrationApi &api, CredentialList credentials,
+                         RecordRequester requester)
+    : api_(api)
+    , credentials_(std::move(credentials))
+    , requester_(std::move(requester))
+    , server_(loop, {}, [this](const HttpRequest &request, const HttpServer::Responder &respond) {
+        handle(request, respond);
+    })
+{
+}
+
+Result<void> AdminServer::listen(const SocketAddress &address)
+{
+    return server_.listen(address);
+}
+
+void AdminServer::handle(const HttpRequest &request, const HttpServer::Responder &respond)
+{
+    const bool isRecord = request.target == "/metrics" || request.target == "/v1/burn/local";
+    if (request.method == "GET" && isRecord)
+        handleRecord(request, respond);
+    else
+        api_.handle(request, respond);
+}
+
+void AdminServer::handleRecord(const HttpRequest &request, const HttpServer::Responder &respond)
+{
+    const auto access = capture([&] { return credentials_.authenticate(request.bearer); });
+    if (const auto *error = std::get_if<Error>(&access)) {
+        respond({httpStatusOf(error->code), errorBody(*error)});
+        return;
+    }
+    const bool isExposition = request.target == "/metrics";
+    requester_([respond, isExposition](const TrafficRecord &record) {
+        if (isExposition)
+            respond({200, renderExposition(record.metrics, record.pools, readProcessUsage()),
+                     std::string(expositionContentType)});
+        else
+            respond({200, encodeSnapshot(record.metrics)});
+    });
+}
+
+} // namespace pistachiowood
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,8 @@
 #include "daemon/daemon.h"
 
+#include "daemon/admin_server.h"
+#include "daemon/administration_adapter.h"
+
 #include <future>
 #include <random>
 #include <thread>
@@ -29,6 +32,12 @@
         , trafficRandom(drawSeed())
         , control(controlLoop, clock, controlRandom, settings.control)
         , traffic(trafficLoop, clock, trafficRandom, settings.traffic)
+        , metrics(settings.control.vm, clock)
+        , adminBackend(control, [this] { beginDrain(); })
+        , adminApi(adminBackend, settings.adminCredentials, clock, {.routing = settings.traffic.router.reads})
+        , adminServer(controlLoop, adminApi, settings.adminCredentials, [this](std::function<void(const TrafficRecord &)> deliver) {
+            requestRecord(std::move(deliver));
+        })
     {
         connectPlanes();
     }
@@ -37,14 +46,40 @@
     void connectPlanes()
     {
         control.setTableHandler([this](std::shared_ptr<const RoutingTable> table) {
-            trafficLoop.post([this, table = std::move(table)] { traffic.setRoutingTable(table); });
+            trafficLoop.post([this, table = std::move(table)] { applyTable(table); });
+            adminApi.handleConfiguration();
         });
         control.setReportHandler([this](const EndpointId &endpoint, const EndpointReport &report) {
             trafficLoop.post([this, endpoint, report] { traffic.observeReport(endpoint, report); });
+            adminApi.observeReport(endpoint, report);
         });
         traffic.setStatusRequester([this](const ServiceName &service) {
             controlLoop.post([this, service] { control.requestStatus(service); });
         });
+        traffic.setStatementObserver(
+            [this](const StatementRequest &request, const StatementAnswer &answer, Milliseconds latency) {
+                metrics.record(request, answer, latency);
+            });
+    }
+
+    void applyTable(const std::shared_ptr<const RoutingTable> &table)
+    {
+        traffic.setRoutingTable(table);
+        ServiceMetrics::ObjectivesMap objectives;
+        for (const auto &[name, routes] : table->services)
+            objectives.emplace(name, routes->spec.objectives);
+        metrics.setObjectives(std::move(objectives));
+    }
+
+    // Copies the record in the traffic thread and delivers it in the control thread.
+    void requestRecord(std::function<void(const TrafficRecord &)> deliver)
+    {
+        trafficLoop.post([this, deliver = std::move(deliver)] {
+            TrafficRecord record {metrics.snapshot(), {}};
+            for (const auto &[endpoint, stats] : traffic.poolStats())
+                record.pools.push_back({traffic.serviceOf(endpoint), endpoint, stats});
+            controlLoop.post([deliver, record = std::move(record)] { deliver(record); });
+        });
     }
 
     std::optional<Error> startTraffic()
@@ -95,6 +130,10 @@
     EventLoop trafficLoop;
     ControlPlane control;
     TrafficPlane traffic;
+    ServiceMetrics metrics; ///< traffic thread
+    AdministrationAdapter adminBackend;
+    AdministrationApi adminApi;
+    AdminServer adminServer;
     std::thread trafficThread;
     bool draining = false;
     TimePoint drainDeadline;
@@ -116,6 +155,7 @@
 {
     if (const auto error = private_->startTraffic())
         return makeError(error->code, error->message);
+    BOOST_LEAF_CHECK(private_->adminServer.listen(private_->settings.control.adminAddress));
     BOOST_LEAF_CHECK(private_->control.start());
     logEvent(Event::DaemonStarted,
              {{"vm", private_->settings.control.vm.value()},
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -34,6 +34,7 @@
     std::string region;
     std::string tokenKey;
     std::string previousTokenKey;
+    std::string adminCredentials;
     std::string addressOverrides;
     std::string logLevel = "info";
     std::string replicaPreference = "region";
@@ -67,7 +68,7 @@
         "secret that signs session tokens, the same on all daemons, at least 16 characters", true);
     parser.addText("previous-token-key", raw.previousTokenKey,
                    "secret that is still accepted while the key is rotated");
-    parser.addText("admin-credentials", settings.adminCredentials,
+    parser.addText("admin-credentials", raw.adminCredentials,
                    "bearer credentials as token:team:role,...");
     parser.addText(
         "address-overrides", raw.addressOverrides,
@@ -98,6 +99,7 @@
     if (raw.tokenKey.size() < shortestTokenKey)
         return makeError(ErrorCode::InvalidArgument,
                          "setting --token-key must have at least 16 characters");
+    BOOST_LEAF_ASSIGN(settings.adminCredentials, CredentialList::parse(raw.adminCredentials));
     BOOST_LEAF_ASSIGN(settings.addressOverrides, parseAddressOverrides(raw.addressOverrides));
     settings.control.vm = VmId(raw.vm);
     settings.control.zone = ZoneName(raw.zone);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_DAEMON_DAEMON_SETTINGS_H
 #define PISTACHIOWOOD_DAEMON_DAEMON_SETTINGS_H
 
+#include "administration/credentials.h"
 #include "base/log.h"
 #include "base/settings.h"
 #include "daemon/control_plane.h"
@@ -15,7 +16,7 @@
     TrafficSettings traffic;
     Milliseconds drainLimit{30000};
     AddressOverrides addressOverrides;
-    std::string adminCredentials;
+    CredentialList adminCredentials;
     Severity logLevel = Severity::Info;
     bool helpRequested = false;
     std::string helpText;
--- a/src/daemon/traffic_plane.cpp
+++ b/src/daemon/traffic_plane.cpp
@@ -169,6 +169,11 @@
     return private_->executor.stats();
 }
 
+ServiceName TrafficPlane::serviceOf(const EndpointId &endpoint) const
+{
+    return private_->executor.serviceOf(endpoint);
+}
+
 std::size_t TrafficPlane::openCallers() const
 {
     return private_->server.openConnections();
--- a/src/daemon/traffic_plane.h
+++ b/src/daemon/traffic_plane.h
@@ -54,6 +54,7 @@
     bool isIdle() const;
 
     std::map<EndpointId, PoolStats> poolStats() const;
+    ServiceName serviceOf(const EndpointId &endpoint) const;
     std::size_t openCallers() const;
 
 private:
--- a/src/statements/attempt_executor.cpp
+++ b/src/statements/attempt_executor.cpp
@@ -313,6 +313,12 @@
     return result;
 }
 
+ServiceName AttemptExecutor::serviceOf(const EndpointId &endpoint) const
+{
+    const auto found = private_->endpointServices.find(endpoint);
+    return found == private_->endpointServices.end() ? ServiceName() : found->second;
+}
+
 std::size_t AttemptExecutor::openTransactions() const
 {
     return private_->transactions.size();
--- a/src/statements/attempt_executor.h
+++ b/src/statements/attempt_executor.h
@@ -42,6 +42,8 @@
     void execute(const AttemptRequest &request, AttemptCallback callback);
 
     std::map<EndpointId, PoolStats> stats() const;
+    /// Empty for an endpoint that has not been used here.
+    ServiceName serviceOf(const EndpointId &endpoint) const;
     std::size_t openTransactions() const;
 
 private:
