--- a/src/burn/burn_report_test.cpp
+++ b/src/burn/burn_report_test.cpp
@@ -3,6 +3,7 @@
 #include "burn/text_exposition.h"
 
 #include <string>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -168,6 +169,29 @@
     STRCMP_EQUAL(text.c_str(), encodeSnapshot(copy).c_str());
 }
 
+// Guards against records that change while another thread reads a snapshot; shown by the tsan
+// preset.
+TEST(SnapshotCodec, snapshotIsReadWhileStatementsAreRecorded)
+{
+    const ManualClock clock;
+    ServiceMetrics metrics(VmId("vm-a"), clock);
+    StatementRequest request;
+    request.service = ServiceName("db");
+    StatementAnswer answer;
+    answer.outcome = Outcome::Committed;
+    for (int round = 1; round <= 50; ++round) {
+        metrics.record(request, answer, 1ms);
+        std::string text;
+        std::thread reader(
+            [&text, snapshot = metrics.snapshot()] { text = encodeSnapshot(snapshot); });
+        for (int i = 0; i < 20; ++i)
+            metrics.record(request, answer, 1ms);
+        reader.join();
+        const auto expected = "\"reads\":[" + std::to_string(round * 21 - 20) + ",";
+        CHECK_TRUE(contains(text, expected));
+    }
+}
+
 // Guards against input from another daemon that is taken although it is out of range.
 TEST(SnapshotCodec, refusesInvalidInput)
 {
