--- a/src/administration/change_validation.cpp
+++ b/src/administration/change_validation.cpp
@@ -213,8 +213,7 @@
         for (std::size_t index = 0; index < array->size(); ++index)
             flatten((*array)[index], path + "[" + std::to_string(index) + "]", lines);
     } else {
-        lines.emplace(path,
-                      value.is_string() ? std::string(value.get_string()) : json::serialize(value));
+        lines.emplace(path, formatScalar(value));
     }
 }
 
--- a/src/administration/change_validation_test.cpp
+++ b/src/administration/change_validation_test.cpp
@@ -141,9 +141,9 @@
         return std::get<0>(capture([&] { return parseJsonObject(text); }));
     };
     const auto lines =
-        diffObjects(parse(R"({"weight":1,"labels":{"a":"x","b":"y"},"rules":[{"s":"1"}]})"),
-                    parse(R"({"weight":1,"labels":{"b":"z"},"rules":[{"s":"1"},{"s":"2"}]})"));
-    const std::vector<std::string> expected{"- labels.a: x", "- labels.b: y", "+ labels.b: z",
-                                            "+ rules[1].s: 2"};
+        diffObjects(parse(R"({"share":0.99,"labels":{"a":"x","b":"y"},"rules":[{"s":"1"}]})"),
+                    parse(R"({"share":0.999,"labels":{"b":"z"},"rules":[{"s":"1"},{"s":"2"}]})"));
+    const std::vector<std::string> expected{"- labels.a: x",   "- labels.b: y", "+ labels.b: z",
+                                            "+ rules[1].s: 2", "- share: 0.99", "+ share: 0.999"};
     CHECK_TRUE(lines == expected);
 }
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -1,6 +1,7 @@
 #include "base/json.h"
 
 #include <array>
+#include <charconv>
 
 namespace pistachiowood {
 
@@ -86,6 +87,18 @@
     return *value;
 }
 
+std::string formatScalar(const json::value &value)
+{
+    if (value.is_string())
+        return std::string(value.get_string());
+    if (!value.is_double())
+        return json::serialize(value);
+    std::array<char, 32> digits{};
+    const auto [end, failure] =
+        std::to_chars(digits.data(), digits.data() + digits.size(), value.get_double());
+    return failure == std::errc() ? std::string(digits.data(), end) : json::serialize(value);
+}
+
 std::string errorBody(const Error &error)
 {
     json::object inner;
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -27,6 +27,9 @@
                                                       std::string_view field);
 Result<std::optional<bool>> optionalBool(const boost::json::object &object, std::string_view field);
 
+/// Text for people: strings without quotes, doubles in their shortest form.
+std::string formatScalar(const boost::json::value &value);
+
 /// Body of an error answer: {"error":{"code":...,"message":...}}.
 std::string errorBody(const Error &error);
 
--- a/tools/pistachioctl/session.cpp
+++ b/tools/pistachioctl/session.cpp
@@ -300,7 +300,7 @@
         return exchange({.method = "POST", .target = makeTarget({"drain", "daemon"}, {})},
                         [](const json::object &body, std::ostream &output) {
                             const auto *vm = body.if_contains("vm");
-                            output << "daemon " << (vm ? json::serialize(*vm) : "")
+                            output << "daemon " << (vm ? formatScalar(*vm) : "")
                                    << " is draining\n";
                         });
     }
--- a/tools/pistachioctl/tables.cpp
+++ b/tools/pistachioctl/tables.cpp
@@ -1,5 +1,7 @@
 #include "pistachioctl/tables.h"
 
+#include "base/json.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -21,9 +23,7 @@
 /// Text of one cell; labels read key=value,key=value.
 std::string cellText(const json::value &value)
 {
-    if (value.is_string())
-        return value.get_string().empty() ? "-" : std::string(value.get_string());
-    if (value.is_null())
+    if (value.is_null() || (value.is_string() && value.get_string().empty()))
         return "-";
     if (const auto *object = value.if_object()) {
         std::string text;
@@ -32,7 +32,7 @@
                     + cellText(field.value());
         return text.empty() ? "-" : text;
     }
-    return json::serialize(value);
+    return value.is_array() ? json::serialize(value) : formatScalar(value);
 }
 
 std::string cellText(const json::object &object, std::string_view field)
@@ -182,7 +182,8 @@
         output << "\nservice " << cellText(service, "service") << ": term "
                << cellText(service, "term") << ", primary " << cellText(service, "primary")
                << ", verdict " << cellText(service, "verdict");
-        if (const auto reason = cellText(service, "verdict_reason"); reason != "-")
+        if (const auto reason = cellText(service, "verdict_reason");
+            reason != "-" && reason != "none")
             output << " (" << reason << ")";
         output << '\n';
         printTable(arrayField(service, "endpoints"),
