--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -25,7 +25,8 @@
     /// Delivers the record in the control thread.
     using RecordRequester = std::function<void(std::function<void(const TrafficRecord &)>)>;
 
-    AdminServer(EventLoop &loop, AdministrationApi &api, CredentialList credentials, RecordRequester requester);
+    AdminServer(EventLoop &loop, AdministrationApi &api, CredentialList credentials,
+                RecordRequester requester);
 
     Result<void> listen(const SocketAddress &address);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,11 +33,13 @@
         , control(controlLoop, clock, controlRandom, settings.control)
         , traffic(trafficLoop, clock, trafficRandom, settings.traffic)
         , metrics(settings.control.vm, clock)
-        , adminBackend(control, [this] { beginDrain(); })
-        , adminApi(adminBackend, settings.adminCredentials, clock, {.routing = settings.traffic.router.reads})
-        , adminServer(controlLoop, adminApi, settings.adminCredentials, [this](std::function<void(const TrafficRecord &)> deliver) {
-            requestRecord(std::move(deliver));
-        })
+        , adminBackend(control, [this] { controlLoop.post([this] { beginDrain(); }); })
+        , adminApi(adminBackend, settings.adminCredentials, clock,
+                   {.routing = settings.traffic.router.reads})
+        , adminServer(controlLoop, adminApi, settings.adminCredentials,
+                      [this](std::function<void(const TrafficRecord &)> deliver) {
+                          requestRecord(std::move(deliver));
+                      })
     {
         connectPlanes();
     }
@@ -57,9 +59,8 @@
             controlLoop.post([this, service] { control.requestStatus(service); });
         });
         traffic.setStatementObserver(
-            [this](const StatementRequest &request, const StatementAnswer &answer, Milliseconds latency) {
-                metrics.record(request, answer, latency);
-            });
+            [this](const StatementRequest &request, const StatementAnswer &answer,
+                   Milliseconds latency) { metrics.record(request, answer, latency); });
     }
 
     void applyTable(const std::shared_ptr<const RoutingTable> &table)
@@ -75,7 +76,7 @@
     void requestRecord(std::function<void(const TrafficRecord &)> deliver)
     {
         trafficLoop.post([this, deliver = std::move(deliver)] {
-            TrafficRecord record {metrics.snapshot(), {}};
+            TrafficRecord record{metrics.snapshot(), {}};
             for (const auto &[endpoint, stats] : traffic.poolStats())
                 record.pools.push_back({traffic.serviceOf(endpoint), endpoint, stats});
             controlLoop.post([deliver, record = std::move(record)] { deliver(record); });
@@ -155,6 +156,7 @@
 {
     if (const auto error = private_->startTraffic())
         return makeError(error->code, error->message);
+    logAccessMode(private_->settings.adminCredentials);
     BOOST_LEAF_CHECK(private_->adminServer.listen(private_->settings.control.adminAddress));
     BOOST_LEAF_CHECK(private_->control.start());
     logEvent(Event::DaemonStarted,
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -100,6 +100,11 @@
         return makeError(ErrorCode::InvalidArgument,
                          "setting --token-key must have at least 16 characters");
     BOOST_LEAF_ASSIGN(settings.adminCredentials, CredentialList::parse(raw.adminCredentials));
+    const bool isLoopback = settings.control.adminAddress.host.starts_with("127.");
+    if (settings.adminCredentials.empty() && !isLoopback)
+        return makeError(
+            ErrorCode::InvalidArgument,
+            "setting --admin-credentials is required unless --admin-address is a loopback address");
     BOOST_LEAF_ASSIGN(settings.addressOverrides, parseAddressOverrides(raw.addressOverrides));
     settings.control.vm = VmId(raw.vm);
     settings.control.zone = ZoneName(raw.zone);
