Repeat suspicions to the suspects and contact missing members each period

Cause: with six daemons starting together only two were known after 2 s, so two daemons took themselves for rank 0 and switched a primary twice; seeds also counted as missing for good. Suspects are now contacted once a period by whoever suspects them, at most three. Ruled out: a longer suspicion, which lengthens the time until a dead owner is replaced. Also: a follower of the database stand-in stayed without fetches when its primary gained another term; test added.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::size_t maxIdLength = 128;
 constexpr std::size_t maxRelays = 64;
+// Contacts before the first answer; several make up for seeds that start at the same time.
+constexpr std::size_t joinContacts = 3;
+constexpr std::size_t maxSuspectContacts = 3; // bounds the cost while a zone is lost
 
 bool isWellFormed(const MemberRecord &record)
 {
@@ -375,13 +378,35 @@
 {
     std::vector<VmListEntry> missing;
     for (const VmListEntry &entry : vmList_) {
-        if (!members_.contains(entry.id))
+        const bool isKnown =
+            members_.contains(entry.id)
+            || std::any_of(members_.begin(), members_.end(), [&](const auto &item) {
+                   return item.second.record.control == entry.control;
+               });
+        if (!isKnown)
             missing.push_back(entry);
     }
-    if (!missing.empty()) {
-        const VmListEntry &entry = missing[random_.below(missing.size())];
-        commands.push_back({entry.control, JoinRequest{makeBody(entry.id)}});
+    for (std::size_t i = joined_ ? 1 : joinContacts; i > 0 && !missing.empty(); --i) {
+        const auto place =
+            missing.begin() + static_cast<std::ptrdiff_t>(random_.below(missing.size()));
+        commands.push_back({place->control, JoinRequest{makeBody(place->id)}});
+        missing.erase(place);
     }
+}
+
+// Repeats the suspicion to the suspects, so that message loss alone rarely keeps a live one from
+// refuting it in time.
+void Membership::contactSuspects(MembershipCommands &commands)
+{
+    std::size_t contacts = 0;
+    for (const auto &[id, member] : members_) {
+        if (member.record.state == MemberState::Suspect && contacts++ < maxSuspectContacts)
+            commands.push_back(ping(id, member.record.control, ++lastSequence_));
+    }
+}
+
+void Membership::contactDead(MembershipCommands &commands)
+{
     std::vector<const MemberRecord *> dead;
     for (const auto &[id, member] : members_) {
         if (!isLive(member.record))
@@ -453,8 +478,10 @@
         probe_ = Probe{*target, ++lastSequence_, now};
         commands.push_back(ping(*target, find(*target)->control, probe_->sequence));
     }
-    if (++periods_ % options_.retryPeriods == 0 || !joined_)
-        contactMissing(commands);
+    contactMissing(commands);
+    contactSuspects(commands);
+    if (++periods_ % options_.retryPeriods == 0)
+        contactDead(commands);
 }
 
 MembershipCommands Membership::tick(TimePoint now)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -114,7 +114,7 @@
     Milliseconds directTimeout{300}; ///< then through other members until the period ends
     std::size_t indirectProbes = 3;
     Milliseconds suspicion{3000}; ///< at up to 6 members; grows with log2 of their number
-    unsigned retryPeriods = 5; ///< one dead or unknown member is tried every so many periods
+    unsigned retryPeriods = 5; ///< one dead member is tried every so many periods
     /// Dead members are kept for longer than regions lose contact (an hour), because probing them
     /// is what joins the two sides again when the platform is down too.
     Milliseconds deadRetention{7200000};
@@ -218,6 +218,8 @@
     void expire(TimePoint now);
     void startPeriod(TimePoint now, MembershipCommands &commands);
     void contactMissing(MembershipCommands &commands);
+    void contactSuspects(MembershipCommands &commands);
+    void contactDead(MembershipCommands &commands);
     void noticePause(TimePoint now);
 
     MemberRecord self_;
--- a/tools/database_standin/database_server.cpp
+++ b/tools/database_standin/database_server.cpp
@@ -402,7 +402,9 @@
         if (!refusal)
             logEvent(Event::DatabaseFollows,
                      {{"id", options.id.value()}, {"term", term}, {"primary", primary}});
-        if (!refusal && (address != primaryAddress || term != fetchTerm.value())) {
+        // Raising a term stops the fetches, so the same primary may be followed again.
+        if (!refusal
+            && (address != primaryAddress || term != fetchTerm.value() || !fetchConnection)) {
             primaryAddress = address;
             restartFetching();
         }
--- a/tools/database_standin/database_server_test.cpp
+++ b/tools/database_standin/database_server_test.cpp
@@ -174,6 +174,28 @@
     CHECK_TRUE(thawed.body.at("position") == 5);
 }
 
+// Guards against a follower that stays without its primary when the primary gains another term.
+TEST(DatabaseServer, samePrimaryIsFollowedAgainAfterRaiseTerm)
+{
+    const auto primary = startPrimary(fastOptions("a"));
+    DatabaseServer replica(loop, clock, fastOptions("b"));
+    CHECK_TRUE(!!replica.listen());
+    const auto toPrimary = connect(*primary);
+    const auto toReplica = connect(replica);
+    const std::string address = "127.0.0.1:" + std::to_string(primary->port());
+    send(*toReplica, "/v1/follow",
+         R"({"term":1,"primary":"a","primary_address":")" + address + "\"}");
+    send(*toReplica, "/v1/position?term=1&above=0&wait_ms=3000", "");
+    for (const auto *connection : {&toPrimary, &toReplica})
+        send(**connection, "/v1/raise_term", R"({"term":2,"promoter":"p"})");
+    send(*toPrimary, "/v1/promote", R"({"term":2,"promoter":"p"})");
+    send(*toReplica, "/v1/follow",
+         R"({"term":2,"primary":"a","primary_address":")" + address + "\"}");
+    const auto caughtUp = send(*toReplica, "/v1/position?term=2&above=1&wait_ms=3000", "");
+    CHECK_TRUE(caughtUp.body.at("position") == 2); // one entry for each promotion
+    CHECK_TRUE(caughtUp.body.at("matched").as_bool());
+}
+
 // Guards against a promotion after which nothing becomes durable before the first write: the entry
 // without operations must pass the replication encoding.
 TEST(DatabaseServer, followerReachesNewTermWithoutStatements)
