Write out the orders that clang-tidy reports

Cause: modernize-use-nullptr reports the 0 in the generated body of a defaulted operator<=> wherever SocketAddress, ConnectionId or the read router's sort key is ordered.

--- a/include/pistachiowood/ids.h
+++ b/include/pistachiowood/ids.h
@@ -3,8 +3,10 @@
 
 #include <pistachiowood/strong_value.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace pistachiowood {
 
@@ -34,7 +36,12 @@
     std::string host;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const SocketAddress &, const SocketAddress &) = default;
+    friend bool operator==(const SocketAddress &, const SocketAddress &) = default;
+    // Not defaulted: clang-tidy's modernize-use-nullptr reports the 0 in the generated body.
+    friend auto operator<=>(const SocketAddress &left, const SocketAddress &right)
+    {
+        return std::tie(left.host, left.port) <=> std::tie(right.host, right.port);
+    }
 };
 
 } // namespace pistachiowood
--- a/src/pools/endpoint_pool.h
+++ b/src/pools/endpoint_pool.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -40,7 +41,12 @@
     std::uint32_t index = 0;
     Generation generation;
 
-    friend auto operator<=>(const ConnectionId &, const ConnectionId &) = default;
+    friend bool operator==(const ConnectionId &, const ConnectionId &) = default;
+    // Not defaulted: clang-tidy's modernize-use-nullptr reports the 0 in the generated body.
+    friend auto operator<=>(const ConnectionId &left, const ConnectionId &right)
+    {
+        return std::tie(left.index, left.generation) <=> std::tie(right.index, right.generation);
+    }
 };
 
 struct OpenConnection
--- a/src/routing/read_router.cpp
+++ b/src/routing/read_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <tuple>
 
 namespace pistachiowood {
 
@@ -36,7 +37,14 @@
     int distance = 0;
     Milliseconds age{0};
 
-    auto operator<=>(const SortKey &) const = default;
+    bool operator==(const SortKey &) const = default;
+    // Not defaulted: clang-tidy's modernize-use-nullptr reports the 0 in the generated body.
+    auto operator<=>(const SortKey &other) const
+    {
+        return std::tie(unlikelyToSatisfy, distanceClass, isPrimary, distance, age)
+               <=> std::tie(other.unlikelyToSatisfy, other.distanceClass, other.isPrimary,
+                            other.distance, other.age);
+    }
 };
 
 ReadRouter::ReadRouter(Settings settings, const Clock &clock)
