Bet on replicas whose recent answers kept up; drop terms above the promoted log

Reports now rank a replica last only when its recent answers also failed the session; the answer check stays as strict. Ruled out: broadcasting positions, which costs messages per service and node. The test that a single old report ranks a replica last is replaced: it now needs answers that failed. Promotion published history entries that began above the promoted log; a token of such a term could have passed as valid (found by review, test added).

--- a/src/primary/promotion.cpp
+++ b/src/primary/promotion.cpp
@@ -197,6 +197,9 @@
     // A member's log does not change between its grant and its promotion.
     const EndpointStatus &grant = grants_.at(chosen_);
     std::vector<TermStart> history = grant.history;
+    // Terms that began above this log left no entry in it; a token must not be valid through them.
+    std::erase_if(history,
+                  [&](const TermStart &entry) { return entry.start > grant.report.position; });
     history.push_back({term_, grant.report.position});
     if (history.size() > maxTermHistory)
         history.erase(history.begin(), history.end() - static_cast<std::ptrdiff_t>(maxTermHistory));
--- a/src/primary/promotion_test.cpp
+++ b/src/primary/promotion_test.cpp
@@ -179,6 +179,24 @@
     CHECK_TRUE(promotion->isPublished());
 }
 
+// Guards against accepting tokens of a term of which the promoted log holds no entry.
+TEST(Promotion, dropsTermsThatBeganAboveThePromotedLog)
+{
+    start();
+    MemberAnswer answer{true, makeStatus(5, 2, 9)};
+    answer.status.history = {
+        {Term(1), LogPosition(0)}, {Term(2), LogPosition(9)}, {Term(3), LogPosition(10)}};
+    promotion->handleRaiseResult(EndpointId("e1"), Term(5), answer);
+    grant("e2", 1, 3);
+    wait(Milliseconds(1000));
+    promotion->handlePromoteResult(EndpointId("e1"), Term(5),
+                                   MemberAnswer{true, makeStatus(5, 5, 10)});
+    CHECK_TRUE(promotion->status().has_value());
+    const std::vector<TermStart> expected{
+        {Term(1), LogPosition(0)}, {Term(2), LogPosition(9)}, {Term(5), LogPosition(9)}};
+    CHECK_TRUE(promotion->status()->history == expected);
+}
+
 // Guards against a wait for the full timeout once a majority has refused.
 TEST(Promotion, refusalsEndTheAttemptAndShowTheNewerTerm)
 {
--- a/src/routing/read_router.cpp
+++ b/src/routing/read_router.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double rateSmoothing = 0.2; // weight of the newest sample of the replication rate
+constexpr double successSmoothing = 0.1; // weight of the newest answer in the success rate
 
 Milliseconds elapsed(TimePoint from, TimePoint to)
 {
@@ -75,6 +76,8 @@
 void ReadRouter::recordVerdict(const EndpointId &endpoint, AnswerVerdict verdict)
 {
     Estimate &estimate = estimates_[endpoint];
+    const double sample = verdict == AnswerVerdict::Deliver ? 1 : 0;
+    estimate.successRate += successSmoothing * (sample - estimate.successRate);
     if (verdict == AnswerVerdict::Deliver) {
         estimate.staleAnswers = 0;
         estimate.ejections = 0;
@@ -137,8 +140,11 @@
     if (found == estimates_.end())
         return true; // unknown endpoints are tried so that an estimate exists
     const Estimate &estimate = found->second;
+    if (estimateAge(estimate) > requirement.maxAge)
+        return false;
+    // Reports of an idle daemon are old while the replica itself keeps up: the next answer decides.
     return estimatePosition(estimate) >= requirement.minPosition
-           && estimateAge(estimate) <= requirement.maxAge;
+           || estimate.successRate >= settings_.betThreshold;
 }
 
 ReadRouter::SortKey ReadRouter::sortKey(const ReadCandidate &candidate,
--- a/src/routing/read_router.h
+++ b/src/routing/read_router.h
@@ -62,8 +62,10 @@
         unsigned staleAnswersBeforeEjection = 3;
         Milliseconds firstEjection{500};
         Milliseconds longestEjection{15000};
-        /// Catch-up that a read may bet on: a replica this far behind is still tried first.
-        Milliseconds expectedCatchUp{5};
+        Milliseconds expectedCatchUp{5}; ///< advance of a replica that an estimate includes
+        /// A replica with an older report is still tried first while this share of its recent
+        /// answers could be delivered; 1.01 relies on reports alone.
+        double betThreshold = 0.5;
     };
 
     ReadRouter(Settings settings, const Clock &clock);
@@ -91,6 +93,7 @@
         EndpointReport report;
         TimePoint observedAt;
         double entriesPerMillisecond = 0;
+        double successRate = 1; ///< recent answers that could be delivered
         unsigned staleAnswers = 0;
         unsigned ejections = 0;
         std::optional<TimePoint> ejectedUntil;
--- a/src/routing/read_router_test.cpp
+++ b/src/routing/read_router_test.cpp
@@ -38,14 +38,24 @@
     CHECK_TRUE(rank(0) == (std::vector<EndpointId>{near, primary, far}));
 }
 
-// Guards against sending a session to a replica that is known to be behind it.
+// Guards against sending sessions to a replica whose recent answers were behind them.
 TEST(ReadRouting, laggingReplicaComesAfterPrimary)
 {
     router.observe(near, report(10, 0));
+    for (int i = 0; i < 7; ++i)
+        router.recordVerdict(near, AnswerVerdict::BelowToken);
+    clock.advance(Milliseconds(15001)); // beyond its ejection
     CHECK_TRUE(rank(500).front() == primary);
     CHECK_TRUE(rank(10).front() == near);
 }
 
+// Guards against primary reads because this daemon has not heard of a replica for a while.
+TEST(ReadRouting, replicaThatKeepsUpIsTriedDespiteAnOldReport)
+{
+    router.observe(near, report(10, 0));
+    CHECK_TRUE(rank(500).front() == near);
+}
+
 // Guards against an old replica that keeps costing a retry on each read.
 TEST(ReadRouting, repeatedStaleAnswersEjectTheReplicaForAWhile)
 {
