--- a/src/statements/write_execution.cpp
+++ b/src/statements/write_execution.cpp
@@ -10,8 +10,11 @@
 constexpr Milliseconds statusPollInterval{20};
 // A resolve must not use the whole remaining time on one silent primary.
 constexpr int resolveShareDivisor = 2;
-// The owner's refusal at its deadline needs this to arrive before ours, or a queued write would be
-// reported as unknown; two region crossings take 16 ms.
+// A write may use two thirds of the time; the rest is for settling it through its request id.
+constexpr int writeShareNumerator = 2;
+constexpr int writeShareDenominator = 3;
+// The owner's refusal at its deadline needs this time to arrive before ours, or a queued write
+// would be reported as unknown; two crossings of the link between regions take 16 ms.
 constexpr Milliseconds answerMargin{25};
 constexpr Milliseconds shortestAttempt{50};
 
@@ -113,13 +116,20 @@
     attempt.statement = request_.statement;
     attempt.requestId = request_.requestId;
     attempt.fairnessKey = request_.fairnessKey;
-    attempt.remaining =
-        resolving_ ? std::max(remaining() / resolveShareDivisor, shortestAttempt) : remaining();
+    attempt.remaining = chooseAttemptTime();
     if (!resolving_)
         attempt.transaction = request_.transaction;
     return attempt;
 }
 
+Milliseconds WriteExecution::chooseAttemptTime() const
+{
+    const Milliseconds time = std::max(remaining() - answerMargin, remaining() / 2);
+    if (resolving_)
+        return std::max(time / resolveShareDivisor, shortestAttempt);
+    return canResolve() ? time * writeShareNumerator / writeShareDenominator : time;
+}
+
 void WriteExecution::attempt(const ServiceRoutes &routes)
 {
     const AttemptRequest attempt = buildAttempt(routes);
--- a/src/statements/write_execution.h
+++ b/src/statements/write_execution.h
@@ -22,6 +22,7 @@
 private:
     void step();
     void attempt(const ServiceRoutes &routes);
+    Milliseconds chooseAttemptTime() const;
     AttemptRequest buildAttempt(const ServiceRoutes &routes) const;
     void handleAnswer(AttemptAnswer answer);
     void handleFailure(const AttemptAnswer &answer);
