Name endpoint refusals once and drop the unused write state machine

Cause: three enumerations named the same refusals, and WriteAttempt was never wired: outcomes are decided by the executor and WriteExecution.

--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_ENDPOINTS_ATTEMPT_H
 #define PISTACHIOWOOD_ENDPOINTS_ATTEMPT_H
 
+#include "endpoints/endpoint_refusal.h"
 #include "endpoints/endpoint_report.h"
 
 #include <pistachiowood/statement.h>
@@ -37,19 +38,6 @@
     Uncertain, ///< may have been executed
 };
 
-/// Why an endpoint refused a statement; none of them executes it.
-enum class EndpointRefusal {
-    None,
-    StaleTerm,
-    NewerTermRequired,
-    NotPrimary,
-    TooManyConnections,
-    RefusedRequest,
-    TransactionLost,
-    InvalidStatement,
-    Other,
-};
-
 struct AttemptAnswer
 {
     AttemptState state = AttemptState::NotExecuted;
--- a/src/pools/endpoint_pool.cpp
+++ b/src/pools/endpoint_pool.cpp
@@ -43,18 +43,18 @@
     const QueueLoad load{clock_.now(), stats_.meanServiceTime / limits_.slots, pinnedQueue_.size()};
     const Admission admission = queue_.push(request, load);
     switch (admission.refusal) {
-    case Refusal::None:
+    case AdmissionRefusal::None:
         break;
-    case Refusal::Expired:
+    case AdmissionRefusal::Expired:
         ++stats_.refusedExpired;
         reject(request.ticket, ErrorCode::DeadlineExceeded, "deadline has passed");
         break;
-    case Refusal::WouldExpire:
+    case AdmissionRefusal::WouldExpire:
         ++stats_.refusedEarly;
         reject(request.ticket, ErrorCode::Unavailable,
                "expected wait for a slot exceeds the remaining time");
         break;
-    case Refusal::Full:
+    case AdmissionRefusal::Full:
         ++stats_.refusedFull;
         reject(request.ticket, ErrorCode::Unavailable, "queue of the endpoint is full");
         break;
--- a/src/pools/fair_queue.cpp
+++ b/src/pools/fair_queue.cpp
@@ -35,20 +35,20 @@
 Admission FairQueue::push(const PoolRequest &request, const QueueLoad &load)
 {
     if (request.deadline <= load.now)
-        return {Refusal::Expired, std::nullopt};
+        return {AdmissionRefusal::Expired, std::nullopt};
     // The queue length is an upper bound, so the exact estimate is needed only when it is too long.
     const auto remaining = request.deadline - load.now;
     const auto exceeds = [&](std::size_t queued) {
         return load.waitPerEntry * (queued + load.othersAhead) > remaining;
     };
     if (exceeds(size()) && exceeds(countAhead(request)))
-        return {Refusal::WouldExpire, std::nullopt};
+        return {AdmissionRefusal::WouldExpire, std::nullopt};
 
     Admission admission;
     if (size() >= limit_) {
         admission.evicted = findVictim(request);
         if (!admission.evicted)
-            return {Refusal::Full, std::nullopt};
+            return {AdmissionRefusal::Full, std::nullopt};
         remove(*admission.evicted);
     }
 
--- a/src/pools/fair_queue.h
+++ b/src/pools/fair_queue.h
@@ -42,7 +42,7 @@
     std::size_t othersAhead = 0; ///< work outside the queue that runs first
 };
 
-enum class Refusal {
+enum class AdmissionRefusal {
     None,
     Expired, ///< the deadline has passed
     WouldExpire, ///< the expected wait exceeds the remaining time
@@ -51,7 +51,7 @@
 
 struct Admission
 {
-    Refusal refusal = Refusal::None;
+    AdmissionRefusal refusal = AdmissionRefusal::None;
     std::optional<Ticket> evicted; ///< entry that gave up its place; it was not run
 };
 
--- a/src/pools/fair_queue_test.cpp
+++ b/src/pools/fair_queue_test.cpp
@@ -26,7 +26,8 @@
               std::uint32_t weight = 1)
     {
         for (int i = 0; i < entries; ++i)
-            CHECK_TRUE(push(queue, request(team, session, weight)).refusal == Refusal::None);
+            CHECK_TRUE(push(queue, request(team, session, weight)).refusal
+                       == AdmissionRefusal::None);
     }
 };
 
@@ -61,7 +62,7 @@
     FairQueue queue(4);
     fill(queue, "a", "s", 4);
     const Admission admission = push(queue, request("b", "s"));
-    CHECK_TRUE(admission.refusal == Refusal::None);
+    CHECK_TRUE(admission.refusal == AdmissionRefusal::None);
     CHECK_TRUE(admission.evicted == Ticket(4));
     const Admission sibling = push(queue, request("a", "t"));
     CHECK_TRUE(sibling.evicted == Ticket(3));
@@ -74,9 +75,9 @@
     FairQueue queue(3);
     fill(queue, "a", "s", 2);
     fill(queue, "b", "s", 1);
-    CHECK_TRUE(push(queue, request("b", "s")).refusal == Refusal::Full);
-    CHECK_TRUE(push(queue, request("a", "s")).refusal == Refusal::Full);
-    CHECK_TRUE(push(queue, request("b", "other")).refusal == Refusal::Full);
+    CHECK_TRUE(push(queue, request("b", "s")).refusal == AdmissionRefusal::Full);
+    CHECK_TRUE(push(queue, request("a", "s")).refusal == AdmissionRefusal::Full);
+    CHECK_TRUE(push(queue, request("b", "other")).refusal == AdmissionRefusal::Full);
     LONGS_EQUAL(3, queue.size());
 }
 
@@ -91,7 +92,7 @@
     LONGS_EQUAL(1, expired.size());
     CHECK_TRUE(expired.front() == Ticket(1));
     LONGS_EQUAL(1, queue.size());
-    CHECK_TRUE(push(queue, request("a", "s", 1, 0ms)).refusal == Refusal::Expired);
+    CHECK_TRUE(push(queue, request("a", "s", 1, 0ms)).refusal == AdmissionRefusal::Expired);
 }
 
 // Guards against a queue that holds work it cannot serve in time.
@@ -99,10 +100,11 @@
 {
     FairQueue queue(100);
     fill(queue, "a", "s", 10);
-    CHECK_TRUE(push(queue, request("a", "s", 1, 99ms), 10ms).refusal == Refusal::WouldExpire);
-    CHECK_TRUE(push(queue, request("a", "s", 1, 100ms), 10ms).refusal == Refusal::None);
+    CHECK_TRUE(push(queue, request("a", "s", 1, 99ms), 10ms).refusal
+               == AdmissionRefusal::WouldExpire);
+    CHECK_TRUE(push(queue, request("a", "s", 1, 100ms), 10ms).refusal == AdmissionRefusal::None);
     CHECK_TRUE(queue.push(request("b", "s", 1, 99ms), {clock.now(), 10ms, 10}).refusal
-               == Refusal::WouldExpire);
+               == AdmissionRefusal::WouldExpire);
 }
 
 // Guards against early refusal of light flows because of the queue of a heavy one.
@@ -113,7 +115,7 @@
     LONGS_EQUAL(1, queue.countAhead(request("b", "s")));
     LONGS_EQUAL(1, queue.countAhead(request("a", "t")));
     LONGS_EQUAL(50, queue.countAhead(request("a", "s")));
-    CHECK_TRUE(push(queue, request("b", "s", 1, 20ms), 10ms).refusal == Refusal::None);
+    CHECK_TRUE(push(queue, request("b", "s", 1, 20ms), 10ms).refusal == AdmissionRefusal::None);
 }
 
 // Guards against waiting transactions that block statements behind them.
--- a/src/statements/write_execution.cpp
+++ b/src/statements/write_execution.cpp
@@ -18,26 +18,6 @@
 constexpr Milliseconds answerMargin{25};
 constexpr Milliseconds shortestAttempt{50};
 
-std::optional<RefusalCode> refusalCodeOf(EndpointRefusal refusal)
-{
-    switch (refusal) {
-    case EndpointRefusal::StaleTerm:
-        return RefusalCode::StaleTerm;
-    case EndpointRefusal::NewerTermRequired:
-        return RefusalCode::NewerTermRequired;
-    case EndpointRefusal::NotPrimary:
-        return RefusalCode::NotPrimary;
-    case EndpointRefusal::TooManyConnections:
-        return RefusalCode::TooManyConnections;
-    case EndpointRefusal::RefusedRequest:
-        return RefusalCode::RefusedRequest;
-    case EndpointRefusal::TransactionLost:
-        return RefusalCode::TransactionLost;
-    default:
-        return std::nullopt;
-    }
-}
-
 bool isUnreachable(const AttemptAnswer &answer)
 {
     return answer.state == AttemptState::Uncertain
@@ -205,7 +185,7 @@
         .inTransaction = request_.transaction.has_value(),
         .mayBeSent = answer.state == AttemptState::Uncertain,
         .earlierUnknown = earlierUnknown_,
-        .refusal = refusalCodeOf(answer.refusal),
+        .refusal = answer.refusal,
         .error = answer.error,
         .remaining = remaining(),
     };
--- a/src/writes/retry_policy.cpp
+++ b/src/writes/retry_policy.cpp
@@ -17,17 +17,37 @@
            || code == ErrorCode::StateStale || code == ErrorCode::OutcomeUnknown;
 }
 
+/// Refusals that a later attempt may not meet and that prove that nothing was executed.
+bool isRetryable(EndpointRefusal refusal)
+{
+    switch (refusal) {
+    case EndpointRefusal::StaleTerm:
+    case EndpointRefusal::NewerTermRequired:
+    case EndpointRefusal::NotPrimary:
+    case EndpointRefusal::TooManyConnections:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Refusals that prove that nothing was executed.
+bool provesNotExecuted(EndpointRefusal refusal)
+{
+    return isRetryable(refusal) || refusal == EndpointRefusal::RefusedRequest
+           || refusal == EndpointRefusal::TransactionLost;
+}
+
 bool mayRetry(const FailedAttempt &attempt)
 {
     if (attempt.inTransaction)
         return false; // its earlier statements exist on the lost connection only
-    if (attempt.refusal == RefusalCode::RefusedRequest
-        || attempt.refusal == RefusalCode::TransactionLost)
+    if (provesNotExecuted(attempt.refusal) && !isRetryable(attempt.refusal))
         return false;
     const bool repeatable = attempt.kind == StatementKind::Read || attempt.idempotent;
     if (!repeatable && (attempt.mayBeSent || attempt.earlierUnknown))
         return false;
-    return attempt.refusal || isTransient(attempt.error.code);
+    return isRetryable(attempt.refusal) || isTransient(attempt.error.code);
 }
 
 } // namespace
@@ -90,7 +110,7 @@
             return RetryNow{backoff};
         reason += budgetAvailable ? "; no time left to retry" : "; retry budget is used up";
     }
-    if (attempt.earlierUnknown || (attempt.mayBeSent && !attempt.refusal))
+    if (attempt.earlierUnknown || (attempt.mayBeSent && !provesNotExecuted(attempt.refusal)))
         return AnswerUnknown{{ErrorCode::OutcomeUnknown, std::move(reason)}};
     // OutcomeUnknown of a statement that was never sent would contradict the outcome.
     const ErrorCode code = attempt.error.code == ErrorCode::OutcomeUnknown ? ErrorCode::Unavailable
--- a/src/writes/retry_policy.h
+++ b/src/writes/retry_policy.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_WRITES_RETRY_POLICY_H
 
 #include "base/random.h"
+#include "endpoints/endpoint_refusal.h"
 
 #include <pistachiowood/clock.h>
 #include <pistachiowood/error.h>
@@ -13,16 +14,6 @@
 
 namespace pistachiowood {
 
-/// Reasons for which an endpoint refuses a statement; all mean that it was not executed.
-enum class RefusalCode {
-    StaleTerm, ///< the statement carries an older term than the endpoint granted
-    NewerTermRequired, ///< the endpoint has not reached the term of the statement
-    NotPrimary,
-    TooManyConnections,
-    RefusedRequest, ///< resolve has recorded the request id as refused
-    TransactionLost,
-};
-
 struct RetryLimits
 {
     std::uint32_t budgetPercent = 10; ///< retries per 100 requests
@@ -65,7 +56,7 @@
     bool inTransaction = false;
     bool mayBeSent = false; ///< a byte of the statement may have reached the endpoint
     bool earlierUnknown = false; ///< an earlier attempt may have been executed
-    std::optional<RefusalCode> refusal;
+    EndpointRefusal refusal = EndpointRefusal::None;
     Error error;
     Milliseconds remaining{0}; ///< until the caller's deadline
 };
--- a/src/writes/retry_policy_test.cpp
+++ b/src/writes/retry_policy_test.cpp
@@ -27,9 +27,10 @@
     CHECK_TRUE(decides<RetryNow>(write));
     write.mayBeSent = true;
     CHECK_TRUE(decides<AnswerUnknown>(write));
-    for (const RefusalCode refusal : {RefusalCode::StaleTerm, RefusalCode::NewerTermRequired,
-                                      RefusalCode::NotPrimary, RefusalCode::TooManyConnections,
-                                      RefusalCode::RefusedRequest, RefusalCode::TransactionLost}) {
+    for (const EndpointRefusal refusal :
+         {EndpointRefusal::StaleTerm, EndpointRefusal::NewerTermRequired,
+          EndpointRefusal::NotPrimary, EndpointRefusal::TooManyConnections,
+          EndpointRefusal::RefusedRequest, EndpointRefusal::TransactionLost}) {
         write.refusal = refusal;
         CHECK_TRUE(decides<AnswerNotRun>(write));
     }
@@ -42,7 +43,7 @@
     write.mayBeSent = true;
     CHECK_TRUE(decides<RetryNow>(write));
     write.earlierUnknown = true;
-    write.refusal = RefusalCode::NotPrimary;
+    write.refusal = EndpointRefusal::NotPrimary;
     CHECK_TRUE(decides<RetryNow>(write));
     CHECK_TRUE(decides<AnswerUnknown>(write, false));
 }
@@ -67,7 +68,7 @@
     CHECK_TRUE(decides<AnswerNotRun>(write));
     write.error.code = ErrorCode::Unavailable;
     write.idempotent = true;
-    write.refusal = RefusalCode::RefusedRequest;
+    write.refusal = EndpointRefusal::RefusedRequest;
     CHECK_TRUE(decides<AnswerNotRun>(write));
 }
 
