--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -1,91 +1,27 @@
 """Starts a deployment of stand-ins and daemons as plain processes on loopback, for demos and tests."""
 
-import http.client
 import json
 import os
 import signal
-import socket
-import subprocess
 import time
 
-HOST = "127.0.0.1"
+from links import STORE, Links
+from processes import HOST, Process, call, reserve_ports, wait_until
+
 TOKEN_KEY = "loopback-demo-token-key"
+DAEMON_PORTS = ("caller", "admin", "control", "traffic")
 
 
-def call(address, method, path, body=None, timeout=5.0):
-    """Sends one request; returns (status, decoded body). Raises OSError when there is no answer."""
-    host, port = address.rsplit(":", 1)
-    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
-    try:
-        text = None if body is None else json.dumps(body)
-        connection.request(method, path, text, {"Content-Type": "application/json"} if text else {})
-        response = connection.getresponse()
-        data = response.read()
-        return response.status, json.loads(data) if data else {}
-    except http.client.HTTPException as failure:
-        raise OSError(str(failure)) from failure
-    finally:
-        connection.close()
-
-
-def wait_until(condition, timeout, what):
-    """Polls until the condition holds; returns its value. Raises TimeoutError."""
-    end = time.monotonic() + timeout
-    while True:
-        try:
-            value = condition()
-            if value:
-                return value
-        except OSError:
-            pass
-        if time.monotonic() > end:
-            raise TimeoutError(what)
-        time.sleep(0.05)
-
-
-def reserve_ports(count):
-    """Returns free ports; all stay bound until all are chosen, so that none repeats."""
-    sockets = [socket.socket() for _ in range(count)]
-    for reserved in sockets:
-        reserved.bind((HOST, 0))
-    ports = [reserved.getsockname()[1] for reserved in sockets]
-    for reserved in sockets:
-        reserved.close()
-    return ports
-
-
-class Process:
-    """One program of the deployment."""
-
-    def __init__(self, name, arguments, log_directory):
-        self.name = name
-        self.arguments = arguments
-        self.log_path = os.path.join(log_directory, name + ".log")
-        self.handle = None
-
-    def start(self):
-        with open(self.log_path, "ab") as log:
-            self.handle = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
-
-    def send(self, number):
-        self.handle.send_signal(number)
-
-    def stop(self, number=signal.SIGKILL, timeout=40):
-        if self.handle and self.handle.poll() is None:
-            if number == signal.SIGKILL:
-                self.handle.send_signal(signal.SIGCONT)
-            self.handle.send_signal(number)
-        if self.handle:
-            self.handle.wait(timeout)
-            return self.handle.returncode
-        return None
-
-    def is_running(self):
-        return self.handle is not None and self.handle.poll() is None
+def load_deployment(path):
+    with open(path, encoding="utf-8") as file:
+        return json.load(file)
 
 
 class Cluster:
-    """Platform, endpoints and daemons of one deployment; a context manager that ends what it started."""
+    """Platform, endpoints and daemons of one deployment; a context manager that ends what it started.
+
+    With "links" in the deployment, zones and callers reach each other through relays.
+    """
 
     def __init__(self, deployment, bin_directory, log_directory, daemon_flags=()):
         self.deployment = deployment
@@ -95,6 +31,7 @@
         self.processes = {}
         self.endpoints = {}
         self.daemons = {}
+        self.links = Links(self, deployment["links"]) if "links" in deployment else None
         os.makedirs(log_directory, exist_ok=True)
 
     def __enter__(self):
@@ -122,99 +59,167 @@
         return process
 
     def _start(self):
+        self._choose_addresses()
+        if self.links:
+            self._place_links()
         self._start_platform()
-        self._start_endpoints()
-        self._start_daemons()
+        for name in self.endpoints:
+            self._start_endpoint(name)
+        for name in self.daemons:
+            self.start_daemon(name)
         self._create_objects()
 
-    def _start_platform(self):
+    def _choose_addresses(self):
+        zones = self.deployment["zones"]
         (port,) = reserve_ports(1)
         self.platform = f"{HOST}:{port}"
+        for service in self.deployment["services"]:
+            for zone, port in zip(zones, reserve_ports(len(zones))):
+                self.endpoints[f"{service['name']}-{zone['name']}"] = {
+                    "service": service["name"], "zone": zone["name"], "region": zone["region"],
+                    "address": f"{HOST}:{port}", "slots": service["slots"], "flags": service.get("flags", [])}
+        for zone in zones:
+            for number in range(zone["daemons"]):
+                addresses = (f"{HOST}:{port}" for port in reserve_ports(len(DAEMON_PORTS)))
+                self.daemons[f"{zone['name']}-vm{number + 1}"] = {
+                    "zone": zone["name"], "region": zone["region"], **dict(zip(DAEMON_PORTS, addresses))}
+
+    def _place_links(self):
+        self.links.add_target(self.platform, STORE, "daemon")
+        for endpoint in self.endpoints.values():
+            for kind in ("daemon", "endpoint"):
+                self.links.add_target(endpoint["address"], endpoint["zone"], kind)
+        for daemon in self.daemons.values():
+            for plane in ("control", "traffic"):
+                self.links.add_target(daemon[plane], daemon["zone"], "daemon")
+            daemon["caller_via"] = self.links.add_caller_target(daemon["caller"])
+        self.links.start()
+
+    def _override_flags(self, zone, kind):
+        return [self.links.override_flag(zone, kind)] if self.links else []
+
+    def _start_platform(self):
+        port = self.platform.rsplit(":", 1)[1]
         self.launch("platform", self.program("platform_standin", f"--port={port}", "--vm-list-lag-ms=1000"))
         wait_until(lambda: call(self.platform, "GET", "/v1/objects")[0] == 200, 10, "platform did not start")
 
-    def _start_endpoints(self):
-        zones = self.deployment["zones"]
-        for service in self.deployment["services"]:
-            ports = reserve_ports(len(zones))
-            for zone, port in zip(zones, ports):
-                name = f"{service['name']}-{zone['name']}"
-                self.endpoints[name] = {
-                    "service": service["name"], "zone": zone["name"], "region": zone["region"],
-                    "address": f"{HOST}:{port}", "slots": service["slots"],
-                }
-                self.launch(name, self.program(
-                    "database_standin", f"--port={port}", f"--id={name}", f"--slots={service['slots']}",
-                    f"--group-size={len(zones)}", *service.get("flags", [])))
-
-    def _start_daemons(self):
-        names = [(zone, f"{zone['name']}-vm{i + 1}") for zone in self.deployment["zones"] for i in range(zone["daemons"])]
-        ports = reserve_ports(4 * len(names))
-        for index, (zone, name) in enumerate(names):
-            caller, admin, control, traffic = (f"{HOST}:{port}" for port in ports[4 * index: 4 * index + 4])
-            self.daemons[name] = {
-                "zone": zone["name"], "region": zone["region"],
-                "caller": caller, "admin": admin, "control": control, "traffic": traffic,
-            }
-        for name in self.daemons:
-            self.start_daemon(name)
+    def _start_endpoint(self, name):
+        endpoint = self.endpoints[name]
+        port = endpoint["address"].rsplit(":", 1)[1]
+        self.launch(name, self.program(
+            "database_standin", f"--port={port}", f"--id={name}", f"--slots={endpoint['slots']}",
+            f"--group-size={len(self.deployment['zones'])}", *endpoint["flags"],
+            *self._override_flags(endpoint["zone"], "endpoint")))
 
     def start_daemon(self, name):
         daemon = self.daemons[name]
         seeds = ",".join(other["control"] for key, other in self.daemons.items() if key != name)
         self.launch(name, self.program(
             "pistachiowoodd", f"--vm={name}", f"--zone={daemon['zone']}", f"--region={daemon['region']}",
-            f"--caller-address={daemon['caller']}", f"--admin-address={daemon['admin']}",
-            f"--control-address={daemon['control']}", f"--traffic-address={daemon['traffic']}",
-            f"--platform={self.platform}", f"--seeds={seeds}", f"--token-key={TOKEN_KEY}", *self.daemon_flags))
+            *(f"--{plane}-address={daemon[plane]}" for plane in DAEMON_PORTS), f"--platform={self.platform}",
+            f"--seeds={seeds}", f"--token-key={TOKEN_KEY}", *self.daemon_flags,
+            *self._override_flags(daemon["zone"], "daemon")))
+        self.list_vm(name)
+
+    def list_vm(self, name, state="live"):
+        daemon = self.daemons[name]
         call(self.platform, "PUT", f"/standin/vms/{name}", {
-            "zone": daemon["zone"], "region": daemon["region"], "address": daemon["control"]})
+            "zone": daemon["zone"], "region": daemon["region"], "address": daemon["control"], "state": state})
+
+    def replace_daemon(self, name, new_name, timeout=40):
+        """Shuts a daemon down gracefully and starts another VM at its addresses; returns the exit code."""
+        self.list_vm(name, "leaving")
+        code = self.processes[name].stop(signal.SIGTERM, timeout)
+        call(self.platform, "DELETE", f"/standin/vms/{name}")
+        self.daemons[new_name] = self.daemons.pop(name)
+        self.start_daemon(new_name)
+        return code
+
+    def kill(self, name):
+        self.processes[name].stop(signal.SIGKILL)
+
+    def freeze(self, name):
+        self.processes[name].send(signal.SIGSTOP)
+
+    def resume(self, name):
+        self.processes[name].send(signal.SIGCONT)
+
+    def set_platform_faults(self, **faults):
+        """Fields: outage, delay_ms, lose_answers, vm_list_lag_ms."""
+        return call(self.platform, "POST", "/standin/faults", faults)[1]
 
     def put_object(self, kind, name, value, expected=0):
-        status, body = call(self.platform, "PUT", f"/v1/objects/{kind}/{name}", {
+        """Stores an object on the platform; returns (status, body)."""
+        return call(self.platform, "PUT", f"/v1/objects/{kind}/{name}", {
             "expected_version": expected, "operation_id": f"{expected}.{name}-{time.time_ns()}", "object": value})
+
+    def get_object(self, kind, name):
+        """(status, {"version", "object", ...}) as stored on the platform."""
+        return call(self.platform, "GET", f"/v1/objects/{kind}/{name}")
+
+    def _create(self, kind, name, value):
+        status, body = self.put_object(kind, name, value)
         if status != 200:
             raise RuntimeError(f"cannot store {kind}/{name}: {body}")
-        return body["version"]
 
     def _create_objects(self):
-        self.put_object("Team", "demo", {})
+        self._create("Team", "demo", {})
         for service in self.deployment["services"]:
-            self.put_object("DatabaseService", service["name"], {"team": "demo"})
+            self._create("DatabaseService", service["name"], {"team": "demo"})
         for name, endpoint in self.endpoints.items():
-            self.put_object("Endpoint", name, {
+            self._create("Endpoint", name, {
                 "service": endpoint["service"], "address": endpoint["address"], "zone": endpoint["zone"],
                 "region": endpoint["region"], "slots": endpoint["slots"], "connections": 30,
                 "labels": {"zone": endpoint["zone"], "region": endpoint["region"]}})
 
+    def services(self):
+        return [service["name"] for service in self.deployment["services"]]
+
     def caller_addresses(self):
-        return [daemon["caller"] for daemon in self.daemons.values()]
+        return [daemon.get("caller_via", daemon["caller"]) for daemon in self.daemons.values()]
 
     def statement(self, daemon, service, body, timeout=70.0):
         return call(self.daemons[daemon]["caller"], "POST", f"/v1/services/{service}/statements", body, timeout)
 
+    def admin(self, daemon, method, path, body=None):
+        return call(self.daemons[daemon]["admin"], method, path, body)
+
+    def wait_in_force(self, version, timeout=10):
+        """Waits until each daemon applies the version itself, which is stricter than the gossiped view."""
+        for name in self.daemons:
+            wait_until(lambda: self.admin(name, "GET", "/v1/status")[1]["applied_version"] >= version,
+                       timeout, f"{name} does not apply version {version}")
+
     def wait_ready(self, timeout=20):
-        """Waits until every daemon can write to every service."""
-        for service in self.deployment["services"]:
+        """Waits until every running daemon can write to every service."""
+        for service in self.services():
             for name in self.daemons:
+                if not self.processes[name].is_running():
+                    continue
                 body = {"kind": "write", "deadline_ms": 1000,
                         "statement": {"op": "put", "key": "ready", "value": name}}
-                wait_until(lambda: self.statement(name, service["name"], body)[1].get("outcome") == "committed",
-                           timeout, f"{name} cannot write to {service['name']}")
+                wait_until(lambda: self.statement(name, service, body)[1].get("outcome") == "committed",
+                           timeout, f"{name} cannot write to {service}")
 
-    def endpoint_status(self, name):
-        return call(self.endpoints[name]["address"], "GET", "/v1/status", timeout=2.0)[1]
+    def endpoint_status(self, name, timeout=2.0):
+        return call(self.endpoints[name]["address"], "GET", "/v1/status", timeout=timeout)[1]
 
-    def find_primary(self, service):
-        """Name of the endpoint that is primary of the highest term among those that answer."""
-        best = None
+    def find_primary(self, service, timeout=0.5):
+        """(term, name) of the primary of the highest term among the endpoints that answer, or None."""
+        found = []
         for name, endpoint in self.endpoints.items():
-            if endpoint["service"] != service or not self.processes[name].is_running():
-                continue
-            try:
-                status = self.endpoint_status(name)
-            except OSError:
-                continue
-            if status["role"] == "primary" and (best is None or status["term"] > best[0]):
-                best = (status["term"], name)
-        return best[1] if best else None
+            if endpoint["service"] == service and self.processes[name].is_running():
+                try:
+                    status = self.endpoint_status(name, timeout)
+                except OSError:
+                    continue
+                if status["role"] == "primary":
+                    found.append((status["term"], name))
+        return max(found, default=None)
+
+    def wait_new_primary(self, service, above, timeout=30):
+        """Waits for a primary of a term above the given one; returns (term, name)."""
+        def newer():
+            found = self.find_primary(service)
+            return found if found and found[0] > above else None
+        return wait_until(newer, timeout, f"{service} has no primary above term {above}")
--- a/tools/link_relay/link_relay_test.cpp
+++ b/tools/link_relay/link_relay_test.cpp
@@ -176,6 +176,35 @@
     CHECK_EQUAL(0, relay.counters().openConnections);
 }
 
+// Guards against a shared link whose two ends each get the full rate: the connecting side of a
+// reversed pair must use the backward direction.
+TEST(Relay, reversedPairUsesTheOtherDirection)
+{
+    const auto port =
+        relay.addPair({"127.0.0.1", 0}, {"127.0.0.1", server.port()}, Direction::Backward);
+    connection = std::make_unique<HttpConnection>(loop, SocketAddress{"127.0.0.1", *port});
+    const std::string body(50000, 'x');
+    bool passedCut = true;
+    std::uint64_t toTarget = 0;
+    send(body);
+    runSteps({{50,
+               [&] {
+                   toTarget = relay.counters().deliveredBytes[Backward];
+                   relay.apply({.cut = {false, true}});
+                   send("b");
+               }},
+              {100,
+               [&] {
+                   passedCut = server.runningRequests() > 0 || outcome.has_value();
+                   relay.apply({});
+               }}},
+             150);
+    CHECK_TRUE(toTarget > body.size());
+    CHECK_FALSE(passedCut);
+    CHECK_TRUE(succeeded());
+    CHECK_TRUE(relay.counters().deliveredBytes[Forward] > body.size()); // the echo
+}
+
 // Guards against a relay that keeps answering after a reset.
 TEST(Relay, resetClosesConnections)
 {
--- a/tools/link_relay/main.cpp
+++ b/tools/link_relay/main.cpp
@@ -12,14 +12,8 @@
 
 namespace {
 
-Result<void> addPairs(Relay &relay, const cxxopts::ParseResult &flags)
+Result<void> addPairs(Relay &relay, const std::vector<std::string> &pairs, Direction direction)
 {
-    std::vector<std::string> pairs;
-    if (flags.count("pair") != 0)
-        pairs = flags["pair"].as<std::vector<std::string>>();
-    if (flags.count("listen") != 0 || flags.count("target") != 0)
-        pairs.push_back(flags["listen"].as<std::string>() + "="
-                        + flags["target"].as<std::string>());
     for (const std::string &pair : pairs) {
         const auto separator = pair.find('=');
         if (separator == std::string::npos)
@@ -27,13 +21,29 @@
                              "\"" + pair + "\" does not have the form listen=target");
         BOOST_LEAF_AUTO(listen, parseAddress(pair.substr(0, separator)));
         BOOST_LEAF_AUTO(target, parseAddress(pair.substr(separator + 1)));
-        BOOST_LEAF_AUTO(port, relay.addPair(listen, target));
+        BOOST_LEAF_AUTO(port, relay.addPair(listen, target, direction));
         std::cout << "relaying " << listen.host << ":" << port << " to " << target.host << ":"
                   << target.port << std::endl;
     }
     return {};
 }
 
+Result<void> addAllPairs(Relay &relay, const cxxopts::ParseResult &flags)
+{
+    std::vector<std::string> pairs;
+    if (flags.count("pair") != 0)
+        pairs = flags["pair"].as<std::vector<std::string>>();
+    if (flags.count("listen") != 0 || flags.count("target") != 0)
+        pairs.push_back(flags["listen"].as<std::string>() + "="
+                        + flags["target"].as<std::string>());
+    BOOST_LEAF_CHECK(addPairs(relay, pairs, Forward));
+    if (flags.count("reverse-pair") != 0) {
+        BOOST_LEAF_CHECK(
+            addPairs(relay, flags["reverse-pair"].as<std::vector<std::string>>(), Backward));
+    }
+    return {};
+}
+
 int run_relay(const cxxopts::ParseResult &flags)
 {
     LinkSettings settings;
@@ -43,7 +53,7 @@
     Relay relay(loop, settings);
     RelayControl control(loop, relay);
     const auto started = capture([&]() -> Result<void> {
-        BOOST_LEAF_CHECK(addPairs(relay, flags));
+        BOOST_LEAF_CHECK(addAllPairs(relay, flags));
         BOOST_LEAF_CHECK(control.listen({"127.0.0.1", flags["control-port"].as<std::uint16_t>()}));
         return {};
     });
@@ -66,6 +76,8 @@
                                                      cxxopts::value<std::string>())(
         "target", "Address to connect to", cxxopts::value<std::string>())(
         "pair", "listen=target; may be repeated, all pairs share the link",
+        cxxopts::value<std::vector<std::string>>())(
+        "reverse-pair", "like --pair, but its forward direction is the link's backward direction",
         cxxopts::value<std::vector<std::string>>())("delay-ms", "One-way delay, may be fractional",
                                                     cxxopts::value<double>()->default_value("0"))(
         "rate-mbit", "Rate each way in Mbit/s; 0 is unlimited",
--- a/tools/link_relay/relay.cpp
+++ b/tools/link_relay/relay.cpp
@@ -82,6 +82,7 @@
     Relay::Private *relay = nullptr;
     ACE_SOCK_Acceptor acceptor;
     ACE_INET_Addr target;
+    Direction connectDirection = Forward;
 };
 
 struct Relay::Private
@@ -117,10 +118,11 @@
 {
 public:
     Connection(Relay::Private *relay, std::uint64_t id, ACE_SOCK_Stream client,
-               const ACE_INET_Addr &target)
+               const PairListener &listener)
         : relay_(relay)
         , id_(id)
-        , target_(target)
+        , target_(listener.target)
+        , connectDirection_(listener.connectDirection)
     {
         sockets_[0].stream = client;
         prepare(sockets_[0]);
@@ -137,8 +139,8 @@
         if (state_ == State::Waiting)
             connectIfDue();
         if (state_ == State::Open) {
-            deliver(Forward);
-            deliver(Backward);
+            deliver(Side::Client);
+            deliver(Side::Target);
         }
         if (state_ == State::Open && flows_[0].endDelivered && flows_[1].endDelivered)
             close(false);
@@ -169,7 +171,7 @@
             close(true);
             return;
         }
-        endFlow(flows_[index(side)]);
+        endFlow(side);
         flows_[index(side)].sourceBroken = true;
         advance();
     }
@@ -201,6 +203,15 @@
 
     static std::size_t index(Side side) { return static_cast<std::size_t>(side); }
 
+    /// Direction on the link of the bytes that come from a side.
+    Direction directionFrom(Side side) const
+    {
+        const bool isForward = (side == Side::Client) == (connectDirection_ == Forward);
+        return isForward ? Forward : Backward;
+    }
+
+    LinkSchedule &scheduleFrom(Side side) { return relay_->schedules[directionFrom(side)]; }
+
     static void prepare(SocketHandler &socket)
     {
         socket.stream.enable(ACE_NONBLOCK);
@@ -253,30 +264,32 @@
         if (count < 0 && errno == EWOULDBLOCK)
             return;
         if (count <= 0) {
-            endFlow(flow);
+            endFlow(side);
             flow.sourceBroken = count < 0;
             return;
         }
         bytes.resize(static_cast<std::size_t>(count));
         flow.queuedBytes += bytes.size();
-        const TimePoint due =
-            relay_->schedules[index(side)].admit(relay_->clock.now(), bytes.size());
+        const TimePoint due = scheduleFrom(side).admit(relay_->clock.now(), bytes.size());
         flow.queue.push_back({std::move(bytes), due});
         setDeadline(due);
     }
 
-    void endFlow(Flow &flow)
+    void endFlow(Side side)
     {
+        Flow &flow = flows_[index(side)];
         if (std::exchange(flow.sourceEnded, true))
             return;
-        flow.endDue = relay_->schedules[&flow - flows_.data()].admit(relay_->clock.now(), 0);
+        flow.endDue = scheduleFrom(side).admit(relay_->clock.now(), 0);
         setDeadline(flow.endDue);
     }
 
-    void deliver(Direction direction)
+    /// Delivers what came from the side and is due.
+    void deliver(Side source)
     {
-        Flow &flow = flows_[direction];
-        ACE_SOCK_Stream &destination = sockets_[1 - direction].stream;
+        Flow &flow = flows_[index(source)];
+        ACE_SOCK_Stream &destination = sockets_[1 - index(source)].stream;
+        const Direction direction = directionFrom(source);
         if (state_ != State::Open || relay_->isCut(direction))
             return;
         const TimePoint now = relay_->clock.now();
@@ -310,16 +323,16 @@
     {
         const Flow &flow = flows_[index(side)];
         return state_ == State::Open && !flow.sourceEnded && flow.queuedBytes < maxQueuedBytes
-               && !relay_->isCut(side == Side::Client ? Forward : Backward);
+               && !relay_->isCut(directionFrom(side));
     }
 
     bool wantsWrite(Side side) const
     {
         if (state_ == State::Connecting)
             return side == Side::Target;
-        const Direction direction = side == Side::Target ? Forward : Backward;
-        const Flow &flow = flows_[direction];
-        return state_ == State::Open && !relay_->isCut(direction) && !flow.queue.empty()
+        const Side source = side == Side::Target ? Side::Client : Side::Target;
+        const Flow &flow = flows_[index(source)];
+        return state_ == State::Open && !relay_->isCut(directionFrom(source)) && !flow.queue.empty()
                && flow.queue.front().due <= relay_->clock.now();
     }
 
@@ -361,11 +374,12 @@
     Relay::Private *relay_;
     std::uint64_t id_;
     ACE_INET_Addr target_;
+    Direction connectDirection_;
     TimePoint openDue_;
     State state_ = State::Waiting;
     std::array<SocketHandler, 2> sockets_{SocketHandler(this, Side::Client),
                                           SocketHandler(this, Side::Target)};
-    std::array<Flow, 2> flows_; ///< by Direction, which equals the side that the bytes come from
+    std::array<Flow, 2> flows_; ///< by the side that the bytes come from
 };
 
 int SocketHandler::handle_input(ACE_HANDLE)
@@ -424,7 +438,7 @@
         return;
     ++counters.acceptedConnections;
     const std::uint64_t id = ++lastConnection;
-    const auto connection = std::make_shared<Connection>(this, id, stream, listener.target);
+    const auto connection = std::make_shared<Connection>(this, id, stream, listener);
     connections.emplace(id, connection);
     connection->advance();
 }
@@ -464,9 +478,11 @@
     resetConnections();
 }
 
-Result<std::uint16_t> Relay::addPair(const SocketAddress &listen, const SocketAddress &target)
+Result<std::uint16_t> Relay::addPair(const SocketAddress &listen, const SocketAddress &target,
+                                     Direction connectDirection)
 {
     auto listener = std::make_unique<PairListener>();
+    listener->connectDirection = connectDirection;
     listener->relay = private_.get();
     ACE_INET_Addr local;
     if (local.set(listen.port, listen.host.c_str(), 1, AF_INET) != 0
--- a/tools/link_relay/relay.h
+++ b/tools/link_relay/relay.h
@@ -12,7 +12,7 @@
 
 namespace pistachiowood::relay {
 
-/// Forward is from the connecting side to the target.
+/// Forward is from the connecting side to the target, except for pairs that were added in reverse.
 enum Direction : std::size_t { Forward, Backward };
 
 struct LinkSettings
@@ -40,8 +40,11 @@
     Relay(EventLoop &loop, const LinkSettings &settings);
     ~Relay();
 
-    /// Returns the port; port 0 in the address picks a free one.
-    Result<std::uint16_t> addPair(const SocketAddress &listen, const SocketAddress &target);
+    /// Returns the port; port 0 in the address picks a free one. With connectDirection Backward the
+    /// bytes from the connecting side use the link's backward direction, so that connections opened
+    /// from both ends of a link share it.
+    Result<std::uint16_t> addPair(const SocketAddress &listen, const SocketAddress &target,
+                                  Direction connectDirection = Forward);
     void apply(const LinkSettings &settings);
     const LinkSettings &settings() const;
     /// Closes all connections with a TCP reset.
--- a/tools/loadgen/caller.cpp
+++ b/tools/loadgen/caller.cpp
@@ -21,9 +21,9 @@
 
 } // namespace
 
-boost::json::object listStatement(const std::string &key)
+boost::json::object readStatement(const std::string &key)
 {
-    return {{"op", "list"}, {"key", key}};
+    return {{"op", "get"}, {"key", key}};
 }
 
 boost::json::object appendStatement(const std::string &key, const std::string &value)
--- a/tools/loadgen/caller.h
+++ b/tools/loadgen/caller.h
@@ -14,7 +14,7 @@
 
 namespace pistachiowood::loadgen {
 
-boost::json::object listStatement(const std::string &key);
+boost::json::object readStatement(const std::string &key);
 boost::json::object appendStatement(const std::string &key, const std::string &value);
 
 /// Sends the requests of one session, one at a time, over one connection per daemon.
--- a/tools/loadgen/final_dump.cpp
+++ b/tools/loadgen/final_dump.cpp
@@ -40,11 +40,11 @@
             Answer read;
             BOOST_LEAF_CHECK(repeat(
                 service,
-                {{"kind", "read"}, {"statement", listStatement(key)}, {"session", written.token}},
+                {{"kind", "read"}, {"statement", readStatement(key)}, {"session", written.token}},
                 read));
             if (!read.values)
                 return makeError(ErrorCode::Internal,
-                                 "the result of " + service + "/" + key + " is not a list");
+                                 "the value of " + service + "/" + key + " is not a list");
             out << json::serialize(json::object{
                 {"service", service}, {"key", key}, {"values", json::value_from(*read.values)}})
                 << '\n';
--- a/tools/loadgen/history.cpp
+++ b/tools/loadgen/history.cpp
@@ -26,12 +26,10 @@
     return {};
 }
 
-/// The result of a list is an array, or an object with the array in "values".
+/// The value of a key that was only appended to is an array, or null before the first append.
 std::optional<std::vector<std::string>> valuesOf(const json::object &body)
 {
     const json::value *result = body.if_contains("result");
-    if (result && result->is_object())
-        result = result->as_object().if_contains("values");
     std::vector<std::string> values;
     if (!result || result->is_null())
         return values;
--- a/tools/loadgen/runner.cpp
+++ b/tools/loadgen/runner.cpp
@@ -125,7 +125,7 @@
             body["idempotent"] = item.idempotent;
         } else {
             body["kind"] = "read";
-            body["statement"] = listStatement(item.key);
+            body["statement"] = readStatement(item.key);
             if (item.kind == WorkKind::AgeRead)
                 body["max_age_ms"] = options.maxAge.count();
         }
@@ -155,8 +155,6 @@
         const Append &append = running->item.appends.at(running->nextAppend++);
         json::object body{{"kind", "write"},
                           {"statement", appendStatement(append.key, append.value)},
-                          {"request_id", append.value},
-                          {"idempotent", running->item.idempotent},
                           {"transaction", running->transaction}};
         send(session, running->item.service, "statements", std::move(body),
              [this, &session, running](Answer answer) {
--- a/tools/loadgen/workload.h
+++ b/tools/loadgen/workload.h
@@ -31,7 +31,7 @@
 struct Append
 {
     std::string key;
-    std::string value; ///< unique; also the request id
+    std::string value; ///< unique; also the request id of a write
 };
 
 struct WorkItem
--- a/tools/platform_standin/platform_server.cpp
+++ b/tools/platform_standin/platform_server.cpp
@@ -291,10 +291,13 @@
     {
         json::array list;
         for (const auto &[vm, entry] : vms.at(clock.now() - vmListLag)) {
-            list.push_back(json::object{{"vm", vm},
-                                        {"zone", entry.zone},
-                                        {"region", entry.region},
-                                        {"state", entry.leaving ? "leaving" : "live"}});
+            json::object item{{"vm", vm},
+                              {"zone", entry.zone},
+                              {"region", entry.region},
+                              {"state", entry.leaving ? "leaving" : "live"}};
+            if (!entry.address.empty())
+                item["address"] = entry.address;
+            list.push_back(std::move(item));
         }
         return HttpResponse{200, json::serialize(json::object{{"vms", std::move(list)}})};
     }
@@ -305,6 +308,8 @@
         VmEntry entry;
         BOOST_LEAF_ASSIGN(entry.zone, requireString(body, "zone"));
         BOOST_LEAF_ASSIGN(entry.region, requireString(body, "region"));
+        BOOST_LEAF_AUTO(address, optionalString(body, "address"));
+        entry.address = address.value_or("");
         BOOST_LEAF_AUTO(state, optionalString(body, "state"));
         if (state && *state != "live" && *state != "leaving")
             return makeError(ErrorCode::InvalidArgument,
--- a/tools/platform_standin/vm_list.h
+++ b/tools/platform_standin/vm_list.h
@@ -14,6 +14,7 @@
     std::string zone;
     std::string region;
     bool leaving = false;
+    std::string address; ///< control address; empty when unknown
 };
 
 using VmMap = std::map<std::string, VmEntry>;
