Do not promote an isolated or slow primary again

Cause: a primary that daemons reach but that has no majority keeps appending entries, so its log is the highest among the grants, and each promotion chose it again; the service stayed without a primary that can acknowledge. Seen with the links between endpoints cut around the primary (tests/system). Change: the attempt names the unfit primary, and it is not chosen when the other grants are a majority of their own. Such a majority holds every acknowledged entry, so safety is as before.

--- a/src/primary/primary_controller.cpp
+++ b/src/primary/primary_controller.cpp
@@ -372,6 +372,10 @@
     request.preferredZone = settings_.preferredZone;
     if (cause == Cause::Failure && assessment_.reason == FailureReason::Unreachable)
         request.failedPrimary = status_->primary;
+    else if (cause == Cause::Failure
+             && (assessment_.reason == FailureReason::Isolated
+                 || assessment_.reason == FailureReason::Slow))
+        request.avoidedMember = status_->primary;
     else if (cause == Cause::Split)
         request.preferredMember = status_->primary;
     else if (cause == Cause::Switchover)
--- a/src/primary/promotion.cpp
+++ b/src/primary/promotion.cpp
@@ -167,6 +167,11 @@
     std::vector<GroupMember> granted;
     std::ranges::copy_if(request_.members, std::back_inserter(granted),
                          [this](const GroupMember &member) { return grants_.contains(member.id); });
+    // The rest is a majority of its own, so it holds every acknowledged entry.
+    if (granted.size() > settings_.rules.grantsNeeded(request_.members.size()))
+        std::erase_if(granted, [this](const GroupMember &member) {
+            return member.id == request_.avoidedMember;
+        });
     const auto best =
         std::ranges::max_element(granted, [&](const GroupMember &left, const GroupMember &right) {
             const EndpointReport &leftReport = grants_.at(left.id).report;
--- a/src/primary/promotion.h
+++ b/src/primary/promotion.h
@@ -101,6 +101,9 @@
     std::string promoter; ///< unique for each attempt
     Term minimumTerm; ///< the attempt uses a higher term
     std::optional<EndpointId> failedPrimary; ///< the status step does not wait for it
+    /// Reachable but unfit primary. It is not chosen when a majority grants without it: its log is
+    /// often the highest, because entries that no other member has still count.
+    std::optional<EndpointId> avoidedMember;
     std::optional<EndpointId> preferredMember; ///< wins ties
     ZoneName preferredZone; ///< wins ties after the preferred member
 };
--- a/src/primary/promotion_test.cpp
+++ b/src/primary/promotion_test.cpp
@@ -105,6 +105,29 @@
     STRCMP_EQUAL("e1", promoted().c_str());
 }
 
+// Guards against promoting an isolated primary again and again: the entries that only it has make
+// its log the highest.
+TEST(Promotion, avoidsUnfitPrimaryWhenOthersAreAMajority)
+{
+    request.avoidedMember = EndpointId("e0");
+    start();
+    grant("e0", 4, 500);
+    grant("e1", 4, 9);
+    grant("e2", 4, 8);
+    STRCMP_EQUAL("e1", promoted().c_str());
+}
+
+// Guards against losing acknowledged entries: without the unfit primary there is no majority.
+TEST(Promotion, choosesUnfitPrimaryWhenMajorityNeedsIt)
+{
+    request.avoidedMember = EndpointId("e0");
+    start();
+    grant("e0", 4, 500);
+    grant("e1", 4, 9);
+    wait(Milliseconds(1000));
+    STRCMP_EQUAL("e0", promoted().c_str());
+}
+
 // Guards against deciding by the status that was read before the member granted the term.
 TEST(Promotion, usesTheReportOfTheGrant)
 {
