--- a/src/configuration/platform_client.cpp
+++ b/src/configuration/platform_client.cpp
@@ -203,7 +203,7 @@
     Private(EventLoop &eventLoop, SocketAddress platform)
         : loop(eventLoop)
         , address(std::move(platform))
-        , watchConnection(eventLoop, address)
+        , watchConnection(eventLoop, address, &byteCounter(ConnectionClass::Platform))
     {
     }
 
@@ -211,7 +211,8 @@
     void sendAlone(HttpRequest request, Milliseconds timeout, HttpConnection::Callback callback)
     {
         const std::uint64_t id = ++lastConnection;
-        auto connection = std::make_shared<HttpConnection>(loop, address);
+        auto connection = std::make_shared<HttpConnection>(loop, address,
+                                                           &byteCounter(ConnectionClass::Platform));
         connections.emplace(id, connection);
         connection->send(std::move(request), timeout,
                          [this, id, callback = std::move(callback)](HttpOutcome outcome) {
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/caller_api.h"
 
+#include "base/byte_counters.h"
 #include "base/json.h"
 #include "net/request_target.h"
 
@@ -85,6 +86,19 @@
     return labels;
 }
 
+std::string describeCounters()
+{
+    json::object counters;
+    for (std::size_t i = 0; i < connectionClassCount; ++i) {
+        const auto connectionClass = static_cast<ConnectionClass>(i);
+        const ByteCounter &counter = byteCounter(connectionClass);
+        counters[connectionClassName(connectionClass)] = {{"received", counter.received.load()},
+                                                          {"sent", counter.sent.load()},
+                                                          {"messages", counter.messages.load()}};
+    }
+    return json::serialize(counters);
+}
+
 } // namespace
 
 CallerApi::CallerApi(StatementRouter &router, const SessionTokenCodec &codec, const Clock &clock,
@@ -109,6 +123,10 @@
                  draining_ ? R"({"status":"draining"})" : R"({"status":"ok"})"});
         return;
     }
+    if (path.size() == 1 && path[0] == "counters") {
+        respond({200, describeCounters()});
+        return;
+    }
     const bool isService = path.size() >= 4 && path[0] == "v1" && path[1] == "services";
     if (isService && request.method != "POST") {
         respond({405, errorBody({ErrorCode::InvalidArgument, "use POST"})});
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#include <pthread.h>
+
 #include <future>
 #include <random>
 #include <thread>
@@ -51,6 +53,7 @@
     {
         std::promise<std::optional<Error>> started;
         trafficThread = std::thread([this, &started] {
+            pthread_setname_np(pthread_self(), "traffic");
             const auto outcome = capture([this] { return traffic.start(); });
             const auto *error = std::get_if<Error>(&outcome);
             started.set_value(error ? std::optional(*error) : std::nullopt);
--- a/src/daemon/traffic_plane.cpp
+++ b/src/daemon/traffic_plane.cpp
@@ -33,10 +33,12 @@
         , callers(router, codec, clock, settings.callers)
         , rpc(loop, [this](const AttemptRequest &request,
                            AttemptCallback callback) { executeHere(request, std::move(callback)); })
-        , server(loop, {.maxConnections = settings.maxCallers},
-                 [this](const HttpRequest &request, const HttpServer::Responder &respond) {
-                     callers.handle(request, respond);
-                 })
+        , server(
+              loop, {.maxConnections = settings.maxCallers},
+              [this](const HttpRequest &request, const HttpServer::Responder &respond) {
+                  callers.handle(request, respond);
+              },
+              &byteCounter(ConnectionClass::Caller))
     {
         executor.setObserver([this](const EndpointId &endpoint, const EndpointReport &report) {
             router.observe(endpoint, report);
--- a/src/endpoints/endpoint_commander.cpp
+++ b/src/endpoints/endpoint_commander.cpp
@@ -40,7 +40,8 @@
         auto &idle = idleConnections[endpoint];
         if (idle && idle->isOpen())
             return std::exchange(idle, nullptr);
-        return std::make_shared<HttpConnection>(loop, endpoint);
+        return std::make_shared<HttpConnection>(loop, endpoint,
+                                                &byteCounter(ConnectionClass::EndpointControl));
     }
 
     void send(const SocketAddress &endpoint, HttpRequest request, Milliseconds timeout,
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_NET_HTTP_H
 #define PISTACHIOWOOD_NET_HTTP_H
 
+#include "base/byte_counters.h"
 #include "net/event_loop.h"
 
 #include <pistachiowood/error.h>
@@ -57,7 +58,7 @@
     using Handler = std::function<void(const HttpRequest &, Responder)>;
     using CloseHandler = std::function<void(std::uint64_t connection)>;
 
-    HttpServer(EventLoop &loop, HttpLimits limits, Handler handler);
+    HttpServer(EventLoop &loop, HttpLimits limits, Handler handler, ByteCounter *counter = nullptr);
     ~HttpServer();
 
     /// Binds and listens; port 0 picks a free one.
@@ -93,7 +94,7 @@
     using Callback = std::function<void(HttpOutcome)>;
     using ConnectCallback = std::function<void(std::optional<HttpFailure>)>;
 
-    HttpConnection(EventLoop &loop, SocketAddress address);
+    HttpConnection(EventLoop &loop, SocketAddress address, ByteCounter *counter = nullptr);
     /// Closes the connection; pending callbacks are dropped.
     ~HttpConnection();
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -25,9 +25,10 @@
 {
     enum class State { Closed, Connecting, Open };
 
-    Private(EventLoop &eventLoop, SocketAddress peer)
+    Private(EventLoop &eventLoop, SocketAddress peer, ByteCounter *byteCounter)
         : loop(eventLoop)
         , address(std::move(peer))
+        , counter(byteCounter)
     {
     }
 
@@ -125,6 +126,10 @@
             const ssize_t count = stream.send(output.data(), output.size());
             if (count > 0) {
                 requestSent = true;
+                if (counter) {
+                    counter->sent += static_cast<std::uint64_t>(count);
+                    ++counter->messages;
+                }
                 output.erase(0, static_cast<std::size_t>(count));
             } else if (errno == EWOULDBLOCK) {
                 loop.reactor()->register_handler(this, WRITE_MASK);
@@ -152,6 +157,8 @@
             fail(HttpFailure::Kind::BadResponse, "unexpected bytes from the peer");
             return;
         }
+        if (counter)
+            counter->received += static_cast<std::uint64_t>(count);
         input.append(chunk.data(), static_cast<std::size_t>(count));
         handleResponseBytes();
     }
@@ -225,6 +232,7 @@
 
     EventLoop &loop;
     SocketAddress address;
+    ByteCounter *counter;
     ACE_SOCK_Stream stream;
     State state = State::Closed;
     HttpResponseParser parser;
@@ -237,8 +245,8 @@
     TimerId timer = 0;
 };
 
-HttpConnection::HttpConnection(EventLoop &loop, SocketAddress address)
-    : private_(std::make_shared<Private>(loop, std::move(address)))
+HttpConnection::HttpConnection(EventLoop &loop, SocketAddress address, ByteCounter *counter)
+    : private_(std::make_shared<Private>(loop, std::move(address), counter))
 {
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -37,10 +37,12 @@
 
 struct HttpServer::Private : public ACE_Event_Handler
 {
-    Private(EventLoop &eventLoop, HttpLimits httpLimits, Handler requestHandler)
+    Private(EventLoop &eventLoop, HttpLimits httpLimits, Handler requestHandler,
+            ByteCounter *byteCounter)
         : loop(eventLoop)
         , limits(httpLimits)
         , handler(std::move(requestHandler))
+        , counter(byteCounter)
     {
     }
 
@@ -52,6 +54,7 @@
     EventLoop &loop;
     HttpLimits limits;
     Handler handler;
+    ByteCounter *counter;
     CloseHandler closeHandler;
     ACE_SOCK_Acceptor acceptor;
     std::uint16_t port = 0;
@@ -97,8 +100,11 @@
             close();
             return 0;
         }
-        if (count > 0)
+        if (count > 0) {
+            if (server_->counter)
+                server_->counter->received += static_cast<std::uint64_t>(count);
             input_.append(chunk.data(), static_cast<std::size_t>(count));
+        }
         if (!handling_)
             handleInput();
         else if (input_.size() > server_->limits.maxBodyBytes)
@@ -211,6 +217,10 @@
         while (!output_.empty()) {
             const ssize_t count = stream_.send(output_.data(), output_.size());
             if (count > 0) {
+                if (server_->counter) {
+                    server_->counter->sent += static_cast<std::uint64_t>(count);
+                    ++server_->counter->messages;
+                }
                 output_.erase(0, static_cast<std::size_t>(count));
             } else if (errno == EWOULDBLOCK) {
                 server_->loop.reactor()->register_handler(this, WRITE_MASK);
@@ -280,8 +290,8 @@
     connections.erase(id);
 }
 
-HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
-    : private_(std::make_unique<Private>(loop, limits, std::move(handler)))
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler, ByteCounter *counter)
+    : private_(std::make_unique<Private>(loop, limits, std::move(handler), counter))
 {
 }
 
--- a/src/rpc/control_rpc.cpp
+++ b/src/rpc/control_rpc.cpp
@@ -176,10 +176,11 @@
 
 Result<void> ControlRpc::listen(const SocketAddress &address)
 {
-    return private_->host.listen(address, [this]() -> capnp::Capability::Client {
-        return wire::Control::Client(
-            kj::heap<ControlServer>(private_->loop, private_->handler, private_->host.poster()));
-    });
+    return private_->host.listen(
+        address, ConnectionClass::ControlRpc, [this]() -> capnp::Capability::Client {
+            return wire::Control::Client(kj::heap<ControlServer>(private_->loop, private_->handler,
+                                                                 private_->host.poster()));
+        });
 }
 
 std::uint16_t ControlRpc::port() const
--- a/src/rpc/rpc_host.cpp
+++ b/src/rpc/rpc_host.cpp
@@ -4,6 +4,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async.h>
+#include <pthread.h>
 
 #include <condition_variable>
 #include <map>
@@ -81,11 +82,69 @@
     bool stopped_ = false;
 };
 
+// Counts the bytes of a stream.
+class CountingStream final : public kj::AsyncIoStream
+{
+public:
+    CountingStream(kj::Own<kj::AsyncIoStream> stream, ByteCounter &counter)
+        : stream_(kj::mv(stream))
+        , counter_(counter)
+    {
+    }
+
+    kj::Promise<std::size_t> tryRead(void *buffer, std::size_t minBytes,
+                                     std::size_t maxBytes) override
+    {
+        return stream_->tryRead(buffer, minBytes, maxBytes).then([this](std::size_t count) {
+            counter_.received += count;
+            return count;
+        });
+    }
+
+    kj::Promise<void> write(const void *buffer, std::size_t size) override
+    {
+        count(size);
+        return stream_->write(buffer, size);
+    }
+
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override
+    {
+        std::size_t size = 0;
+        for (const auto &piece : pieces)
+            size += piece.size();
+        count(size);
+        return stream_->write(pieces);
+    }
+
+    kj::Promise<void> whenWriteDisconnected() override { return stream_->whenWriteDisconnected(); }
+    void shutdownWrite() override { stream_->shutdownWrite(); }
+    void abortRead() override { stream_->abortRead(); }
+    void getsockopt(int level, int option, void *value, kj::uint *length) override
+    {
+        stream_->getsockopt(level, option, value, length);
+    }
+    void setsockopt(int level, int option, const void *value, kj::uint length) override
+    {
+        stream_->setsockopt(level, option, value, length);
+    }
+
+private:
+    void count(std::size_t size)
+    {
+        counter_.sent += size;
+        ++counter_.messages;
+    }
+
+    kj::Own<kj::AsyncIoStream> stream_;
+    ByteCounter &counter_;
+};
+
 class ThreadContext final : public RpcHost::Context, private kj::TaskSet::ErrorHandler
 {
 public:
-    explicit ThreadContext(kj::AsyncIoContext &io)
+    ThreadContext(kj::AsyncIoContext &io, ByteCounter &counter)
         : io_(io)
+        , counter_(counter)
         , tasks_(*this)
     {
     }
@@ -140,7 +199,8 @@
         return timer()
             .timeoutAfter(connectTimeout, kj::mv(connecting))
             .then([this, key](kj::Own<kj::AsyncIoStream> stream) -> capnp::Capability::Client {
-                auto peer = std::make_shared<Peer>(kj::mv(stream));
+                auto peer =
+                    std::make_shared<Peer>(kj::heap<CountingStream>(kj::mv(stream), counter_));
                 peers_[key] = peer;
                 run(peer->client.onDisconnect().then([this, key, peer] { removePeer(key, peer); }));
                 return peer->client.bootstrap();
@@ -171,6 +231,7 @@
     void taskFailed(kj::Exception &&) override {}
 
     kj::AsyncIoContext &io_;
+    ByteCounter &counter_;
     std::map<std::string, std::shared_ptr<Peer>> peers_;
     std::map<std::string, kj::Own<Connection>> connections_;
     kj::TaskSet tasks_;
@@ -180,10 +241,23 @@
 
 struct RpcHost::Private
 {
-    void runThread(const SocketAddress &address, const BootstrapFactory &factory)
+    static kj::Promise<void> acceptAll(capnp::TwoPartyServer &server,
+                                       kj::ConnectionReceiver &receiver, ByteCounter &counter)
+    {
+        return receiver.accept().then([&](kj::Own<kj::AsyncIoStream> stream) {
+            server.accept(kj::heap<CountingStream>(kj::mv(stream), counter));
+            return acceptAll(server, receiver, counter);
+        });
+    }
+
+    void runThread(const SocketAddress &address, ConnectionClass connectionClass,
+                   const BootstrapFactory &factory)
     {
+        // Thread names are limited to 15 characters.
+        pthread_setname_np(pthread_self(), connectionClassName(connectionClass).data());
+        ByteCounter &counter = byteCounter(connectionClass);
         auto io = kj::setupAsyncIo();
-        ThreadContext context(io);
+        ThreadContext context(io, counter);
         kj::Own<kj::ConnectionReceiver> receiver;
         try {
             auto local =
@@ -194,7 +268,7 @@
             return;
         }
         capnp::TwoPartyServer server(factory());
-        context.run(server.listen(*receiver));
+        context.run(acceptAll(server, *receiver, counter));
         reportStart(receiver->getPort(), "");
         while (!mailbox->isStopped()) {
             auto wakeUp = kj::newPromiseAndCrossThreadFulfiller<void>();
@@ -234,11 +308,13 @@
         private_->thread.join();
 }
 
-Result<void> RpcHost::listen(const SocketAddress &address, BootstrapFactory factory)
+Result<void> RpcHost::listen(const SocketAddress &address, ConnectionClass connectionClass,
+                             BootstrapFactory factory)
 {
-    private_->thread = std::thread([state = private_.get(), address, factory = std::move(factory)] {
-        state->runThread(address, factory);
-    });
+    private_->thread = std::thread(
+        [state = private_.get(), address, connectionClass, factory = std::move(factory)] {
+            state->runThread(address, connectionClass, factory);
+        });
     std::unique_lock lock(private_->mutex);
     private_->startedCondition.wait(lock, [this] { return private_->started; });
     if (!private_->startFailure.empty())
--- a/src/rpc/rpc_host.h
+++ b/src/rpc/rpc_host.h
@@ -1,6 +1,8 @@
 #ifndef PISTACHIOWOOD_RPC_RPC_HOST_H
 #define PISTACHIOWOOD_RPC_RPC_HOST_H
 
+#include "base/byte_counters.h"
+
 #include <pistachiowood/error.h>
 #include <pistachiowood/ids.h>
 
@@ -38,7 +40,9 @@
     ~RpcHost();
 
     /// Starts the thread; the factory is called in it. Port 0 picks a free one.
-    Result<void> listen(const SocketAddress &address, BootstrapFactory factory);
+    /// The thread is named after the class, whose counter receives the bytes of all connections.
+    Result<void> listen(const SocketAddress &address, ConnectionClass connectionClass,
+                        BootstrapFactory factory);
     std::uint16_t port() const;
 
     /// Runs the task in the RPC thread. May be called from any thread.
--- a/src/rpc/traffic_rpc.cpp
+++ b/src/rpc/traffic_rpc.cpp
@@ -170,10 +170,11 @@
 
 Result<void> TrafficRpc::listen(const SocketAddress &address)
 {
-    return private_->host.listen(address, [this]() -> capnp::Capability::Client {
-        return wire::Traffic::Client(
-            kj::heap<TrafficServer>(private_->loop, private_->handler, private_->host.poster()));
-    });
+    return private_->host.listen(
+        address, ConnectionClass::TrafficRpc, [this]() -> capnp::Capability::Client {
+            return wire::Traffic::Client(kj::heap<TrafficServer>(private_->loop, private_->handler,
+                                                                 private_->host.poster()));
+        });
 }
 
 std::uint16_t TrafficRpc::port() const
--- a/src/statements/endpoint_work.cpp
+++ b/src/statements/endpoint_work.cpp
@@ -84,7 +84,8 @@
 
 void EndpointWork::handle(const OpenConnection &command)
 {
-    auto connection = std::make_unique<HttpConnection>(loop_, spec_.address);
+    auto connection = std::make_unique<HttpConnection>(
+        loop_, spec_.address, &byteCounter(ConnectionClass::EndpointTraffic));
     const ConnectionId id = command.id;
     connection->setCloseHandler([weak = weak_from_this(), id] {
         if (const auto self = weak.lock()) {
--- a/src/statements/service_durability.cpp
+++ b/src/statements/service_durability.cpp
@@ -87,7 +87,8 @@
         if (poll.running || clock.now() < poll.notBefore)
             return;
         if (!poll.connection || poll.address != spec.address) {
-            poll.connection = std::make_unique<HttpConnection>(loop, spec.address);
+            poll.connection = std::make_unique<HttpConnection>(
+                loop, spec.address, &byteCounter(ConnectionClass::EndpointTraffic));
             poll.address = spec.address;
         }
         poll.running = true;
