--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,6 +3,8 @@
 #include "daemon/admin_server.h"
 #include "daemon/administration_adapter.h"
 
+#include <pthread.h>
+
 #include <future>
 #include <random>
 #include <thread>
@@ -87,6 +89,7 @@
     {
         std::promise<std::optional<Error>> started;
         trafficThread = std::thread([this, &started] {
+            pthread_setname_np(pthread_self(), "traffic");
             const auto outcome = capture([this] { return traffic.start(); });
             const auto *error = std::get_if<Error>(&outcome);
             started.set_value(error ? std::optional(*error) : std::nullopt);
