Serve no read from a former primary before it follows the new one

Cause: an isolated primary had appended entries that no other member held. After it granted the new term it reported that term with its old log, and the new primary used the same positions for other entries. The tracker for writes already required an entry of the term. Change: a read is durable only when the log of the answering member is in its term, too. Also: an attempt whose answer arrives after the caller's deadline now counts as a failure of the primary, so that writes are refused at once while it is cut off; before, each waited for its whole deadline.

--- a/src/endpoints/endpoint_report.h
+++ b/src/endpoints/endpoint_report.h
@@ -22,6 +22,14 @@
     Milliseconds age{0}; ///< upper bound on the age of its data
 };
 
+/// Returns whether the log is known to agree with the log of its term's primary. A former primary
+/// that has granted a newer term may still hold entries that no other member has, at positions that
+/// the new primary has used for other entries.
+inline bool isLogInTerm(const EndpointReport &report)
+{
+    return report.lastEntryTerm == report.term;
+}
+
 /// Answer to a status probe.
 struct EndpointStatus
 {
--- a/src/statements/attempt_executor.cpp
+++ b/src/statements/attempt_executor.cpp
@@ -205,6 +205,12 @@
             callback(std::move(answer));
             return;
         }
+        if (!isLogInTerm(answer.report)) {
+            markUndurable(request, answer,
+                          "the endpoint has not received an entry of its term yet");
+            callback(std::move(answer));
+            return;
+        }
         waitForMajority(request, deadline, std::move(answer), routes, callback);
     }
 
@@ -229,21 +235,24 @@
         }
         const Term term = answer.report.term;
         const LogPosition position = answer.entryPosition;
-        const bool isRead = request.kind == StatementKind::Read;
         durability.wait(
             term, position, deadline,
-            [answer = std::move(answer), isRead, callback](Durability durabilityResult,
-                                                           Term) mutable {
-                answer.durable = durabilityResult == Durability::Durable;
-                if (!answer.durable) {
-                    answer.state = isRead ? AttemptState::NotExecuted : AttemptState::Uncertain;
-                    answer.error = {isRead ? ErrorCode::Unavailable : ErrorCode::OutcomeUnknown,
-                                    "no majority of the group holds the entry yet"};
-                }
+            [answer = std::move(answer), request, callback](Durability result, Term) mutable {
+                answer.durable = result == Durability::Durable;
+                if (!answer.durable)
+                    markUndurable(request, answer, "no majority of the group holds the entry yet");
                 callback(std::move(answer));
             });
     }
 
+    static void markUndurable(const AttemptRequest &request, AttemptAnswer &answer,
+                              const char *reason)
+    {
+        const bool isRead = request.kind == StatementKind::Read;
+        answer.state = isRead ? AttemptState::NotExecuted : AttemptState::Uncertain;
+        answer.error = {isRead ? ErrorCode::Unavailable : ErrorCode::OutcomeUnknown, reason};
+    }
+
     void updateTransactions(const AttemptRequest &request, AttemptAnswer &answer,
                             ConnectionId connection)
     {
--- a/src/statements/write_execution.cpp
+++ b/src/statements/write_execution.cpp
@@ -137,10 +137,12 @@
 void WriteExecution::handleAnswer(AttemptAnswer answer)
 {
     outstanding_ = false;
-    if (done_)
-        return;
+    // A silent primary shows only after the deadline; without this the next write would wait as
+    // long.
     if (!request_.transaction)
         router_.recordPrimaryResult(request_.service, !isUnreachable(answer));
+    if (done_)
+        return;
     if (answer.error.code == ErrorCode::StateStale && answer.state != AttemptState::Executed)
         router_.transport_.requestStatus(request_.service);
     if (answer.state == AttemptState::Executed && answer.durable) {
