Probe calm groups rarely and limit responsible daemons to three

Each daemon that was responsible for a service probed all three members every 500 ms, and with six zones six daemons were responsible: 36 probes/s and 11.6 KB/s per service, 27.7 KB/s per node at 800 nodes and 1,900 services against a control budget of 4 KB/s. Now at most three daemons are responsible, in different regions if there are any. Rank 0 probes the primary every 500 ms, the other ranks every 1 s, and other members are probed every 2.5 s; any sign of trouble restores the full rate for the whole group.

All figures count HTTP payload in both directions.

Alternatives: probing by the other ranks only after rank 0 asks would save 1.3 probes/s more per service but lengthens detectionBound() by the time in which they collect evidence. Isolation would be visible in the age that the primary reports, which saves probes of replicas, but the property tests do not model it.

--- a/src/membership/owner_table.cpp
+++ b/src/membership/owner_table.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace pistachiowood {
 
@@ -13,7 +14,8 @@
 constexpr std::uint64_t responsibleSeed = 2;
 constexpr std::uint64_t rankSeed = 3;
 
-std::uint64_t score(const std::string &key, const VmId &member, std::uint64_t seed)
+template <typename Name>
+std::uint64_t score(const std::string &key, const Name &member, std::uint64_t seed)
 {
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), seed);
     return XXH64(member.value().data(), member.value().size(), keyHash);
@@ -64,20 +66,32 @@
     if (cached != responsible_.end())
         return cached->second;
 
-    std::map<ZoneName, std::pair<std::uint64_t, VmId>> best;
+    std::map<ZoneName, std::pair<std::uint64_t, const Candidate *>> best;
     for (const Candidate &candidate : candidates_) {
-        std::pair rated{score(service.value(), candidate.id, responsibleSeed), candidate.id};
+        std::pair rated{score(service.value(), candidate.id, responsibleSeed), &candidate};
         auto &current = best[candidate.zone];
         current = std::max(current, rated);
     }
-    std::vector<std::pair<std::uint64_t, VmId>> ranked;
+    // Zones are ranked, not daemons, so that the loss of a daemon that is not responsible changes
+    // nothing.
+    std::vector<std::pair<std::uint64_t, const Candidate *>> ranked;
     ranked.reserve(best.size());
     for (const auto &[zone, rated] : best)
-        ranked.emplace_back(score(service.value(), rated.second, rankSeed), rated.second);
+        ranked.emplace_back(score(service.value(), zone, rankSeed), rated.second);
     std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<const Candidate *> chosen;
+    std::set<RegionName> regions;
+    for (const bool isNewRegion : {true, false}) {
+        for (const auto &[rank, candidate] : ranked) {
+            const bool isChosen = std::ranges::find(chosen, candidate) != chosen.end();
+            if (chosen.size() < maxResponsible && !isChosen
+                && (!isNewRegion || regions.insert(candidate->region).second))
+                chosen.push_back(candidate);
+        }
+    }
     std::vector<VmId> &result = responsible_[service];
-    for (const auto &[rank, id] : ranked)
-        result.push_back(id);
+    for (const Candidate *candidate : chosen)
+        result.push_back(candidate->id);
     return result;
 }
 
--- a/src/membership/owner_table.h
+++ b/src/membership/owner_table.h
@@ -12,6 +12,10 @@
 
 namespace pistachiowood {
 
+/// Two daemons in different zones must agree on a failure, and the third stands in for either. A
+/// daemon in each of six zones would double the probes.
+inline constexpr std::size_t maxResponsible = 3;
+
 /// Assigns endpoints and services to daemons by rendezvous hashing over the live members, so that
 /// daemons with the same member list agree and a lost member moves only what it had.
 ///
@@ -27,8 +31,9 @@
     /// Empty only if there is no eligible member at all.
     std::optional<VmId> endpointOwner(const EndpointSpec &endpoint);
 
-    /// One daemon of each zone. Rank is the place in the result; it differs by service, so that
-    /// rank 0 spreads over the zones.
+    /// Up to maxResponsible daemons in different zones, and in different regions as far as there
+    /// are any. Rank is the place in the result; it differs by service, so that rank 0 spreads over
+    /// the zones.
     const std::vector<VmId> &responsibleDaemons(const ServiceName &service);
 
 private:
--- a/src/membership/owner_table_test.cpp
+++ b/src/membership/owner_table_test.cpp
@@ -94,3 +94,21 @@
     }
     CHECK_EQUAL(3U, firstZones.size());
 }
+
+// Guards against supervision that grows with the number of zones, and against one that a single
+// region holds alone.
+TEST(OwnerTable, threeOfSixZonesAreResponsibleInThreeRegions)
+{
+    members.push_back(member(6, "z4", "r2"));
+    members.push_back(member(7, "z5", "r3"));
+    members.push_back(member(8, "z6", "r3"));
+    table.update(members);
+    for (int index = 0; index < 40; ++index) {
+        std::set<std::string> regions;
+        const auto &daemons = table.responsibleDaemons(ServiceName("s" + std::to_string(index)));
+        for (const VmId &id : daemons)
+            regions.insert(members.at(id.value().back() - '0').region.value());
+        CHECK_EQUAL(3U, daemons.size());
+        CHECK_EQUAL(3U, regions.size());
+    }
+}
--- a/src/primary/failure_detector.cpp
+++ b/src/primary/failure_detector.cpp
@@ -109,6 +109,19 @@
     return &*found->second.status;
 }
 
+bool FailureDetector::isGroupCalm() const
+{
+    return std::ranges::all_of(members_, [this](const auto &entry) {
+        const auto &[id, member] = entry;
+        if (!member.status || member.lastProbeFailed || member.status->report.term != term_)
+            return false;
+        if (id == primary_)
+            return member.status->report.role == EndpointRole::Primary;
+        return member.status->report.role == EndpointRole::Replica
+               && member.status->primaryContact < settings_.contactLimit / 4;
+    });
+}
+
 bool FailureDetector::hasRecentGoodAnswer() const
 {
     return refusals_ < settings_.suspicionRefusals
--- a/src/primary/failure_detector.h
+++ b/src/primary/failure_detector.h
@@ -84,6 +84,9 @@
     Assessment assess() const;
     /// Answer to another daemon's question; nullopt without enough evidence of our own.
     std::optional<bool> isPrimaryReachable() const;
+    /// True while every member answered its last probe and shows the known primary and term with
+    /// all replicas in contact.
+    bool isGroupCalm() const;
     /// Last report of a member if it is recent.
     const EndpointStatus *recentStatus(const EndpointId &endpoint) const;
 
--- a/src/primary/primary_controller.cpp
+++ b/src/primary/primary_controller.cpp
@@ -282,18 +282,36 @@
     publishPending();
 }
 
+// Anything that a probe at the full rate could clear up.
+bool PrimaryController::needsAttention() const
+{
+    const GroupMember *primary = status_ ? findMember(status_->primary) : nullptr;
+    return !primary || !primary->mayBePrimary() || promotion_ || switchoverRequested_
+           || failedSince_ || splitSince_ || newerPrimarySince_
+           || assessment_.verdict != Verdict::Healthy || !detector_.isGroupCalm();
+}
+
+Milliseconds PrimaryController::probeIntervalOf(const EndpointId &endpoint) const
+{
+    if (admissionStopped_)
+        return settings_.switchoverProbeInterval;
+    if (needsAttention())
+        return settings_.probeInterval;
+    if (endpoint != status_->primary)
+        return settings_.replicaProbeFactor * settings_.probeInterval;
+    return (rank_ == 0U ? 1 : settings_.standbyProbeFactor) * settings_.probeInterval;
+}
+
 void PrimaryController::sendProbes()
 {
     const TimePoint now = clock_.now();
     for (auto &[id, probe] : probes_) {
         // A probe whose result never came back is given up.
-        if (probe.outstanding && now - probe.sentAt < 2 * settings_.probeTimeout)
+        if (probe.outstanding && now - *probe.sentAt < 2 * settings_.probeTimeout)
             continue;
-        if (now < probe.nextAt)
+        if (probe.sentAt && now - *probe.sentAt < probeIntervalOf(id))
             continue;
-        probe = {
-            now + (admissionStopped_ ? settings_.switchoverProbeInterval : settings_.probeInterval),
-            true, now};
+        probe = {now, true};
         commands_.emplace_back(ProbeEndpoint{id, settings_.probeTimeout});
     }
 }
--- a/src/primary/primary_controller.h
+++ b/src/primary/primary_controller.h
@@ -58,6 +58,14 @@
     PromotionSettings promotion;
     Milliseconds tickInterval{100}; ///< longest time between ticks that the bounds assume
     Milliseconds probeInterval{500};
+    /// While nothing needs attention, daemons of rank 1 and above probe the primary at this
+    /// multiple of the interval. Below suspicionTimeout, so that their last good answer stays valid
+    /// evidence.
+    unsigned standbyProbeFactor = 2;
+    /// The same for members that are not primary, on every rank. A replica that shows a quarter of
+    /// contactLimit without contact ends it: 500 + 5 x 500 = 3000 ms after the loss of contact at
+    /// the latest, which is isolationLimit, so that detectionBound() holds for isolation too.
+    unsigned replicaProbeFactor = 5;
     Milliseconds probeTimeout{1000};
     Milliseconds answerTime{500}; ///< round trip that the bounds assume
     Milliseconds confirmationInterval{500};
@@ -153,13 +161,14 @@
 
     struct Probe
     {
-        TimePoint nextAt;
+        std::optional<TimePoint> sentAt;
         bool outstanding = false;
-        TimePoint sentAt;
     };
 
     bool isPaused() const;
     bool isDue(TimePoint since, Milliseconds step) const;
+    bool needsAttention() const;
+    Milliseconds probeIntervalOf(const EndpointId &endpoint) const;
     void sendProbes();
     void updateAssessment();
     void adoptNewerPrimary();
--- a/src/primary/primary_controller_test.cpp
+++ b/src/primary/primary_controller_test.cpp
@@ -219,3 +219,22 @@
     CHECK_TRUE(commands.empty());
     CHECK_FALSE(controller->requestSwitchover("test"));
 }
+
+// Guards against probes of calm groups at the full rate, which 1,900 services cannot afford, and
+// against a slow rate that stays when something is wrong.
+TEST(PrimaryController, calmGroupsAreProbedRarely)
+{
+    const auto countProbes = [this](unsigned rank, const EndpointStatus &second) {
+        start(rank);
+        controller->handleServiceStatus(makeServiceStatus(1, "e0"), StatusSource::Platform);
+        run(1000, primary, replica, second);
+        commands.clear();
+        run(10000, primary, replica, second);
+        return count<ProbeEndpoint>();
+    };
+    CHECK_EQUAL(20 + 2 * 4, countProbes(0, replica));
+    CHECK_EQUAL(10 + 2 * 4, countProbes(1, replica));
+    CHECK_EQUAL(10 + 2 * 4, countProbes(2, replica));
+    CHECK_EQUAL(60, countProbes(0, makeStatus(EndpointRole::Replica, 1, 600)));
+    CHECK_EQUAL(60, countProbes(2, makeStatus(EndpointRole::Replica, 2)));
+}
