--- a/src/primary/promotion.cpp
+++ b/src/primary/promotion.cpp
@@ -167,6 +167,11 @@
     std::vector<GroupMember> granted;
     std::ranges::copy_if(request_.members, std::back_inserter(granted),
                          [this](const GroupMember &member) { return grants_.contains(member.id); });
+    // The rest is a majority of its own, so it holds every acknowledged entry.
+    if (granted.size() > settings_.rules.grantsNeeded(request_.members.size()))
+        std::erase_if(granted, [this](const GroupMember &member) {
+            return member.id == request_.avoidedMember;
+        });
     const auto best =
         std::ranges::max_element(granted, [&](const GroupMember &left, const GroupMember &right) {
             const EndpointReport &leftReport = grants_.at(left.id).report;
@@ -197,6 +202,9 @@
     // A member's log does not change between its grant and its promotion.
     const EndpointStatus &grant = grants_.at(chosen_);
     std::vector<TermStart> history = grant.history;
+    // Terms that began above this log left no entry in it; a token must not be valid through them.
+    std::erase_if(history,
+                  [&](const TermStart &entry) { return entry.start > grant.report.position; });
     history.push_back({term_, grant.report.position});
     if (history.size() > maxTermHistory)
         history.erase(history.begin(), history.end() - static_cast<std::ptrdiff_t>(maxTermHistory));
--- a/src/primary/promotion_test.cpp
+++ b/src/primary/promotion_test.cpp
@@ -105,6 +105,29 @@
     STRCMP_EQUAL("e1", promoted().c_str());
 }
 
+// Guards against promoting an isolated primary again and again: the entries that only it has make
+// its log the highest.
+TEST(Promotion, avoidsUnfitPrimaryWhenOthersAreAMajority)
+{
+    request.avoidedMember = EndpointId("e0");
+    start();
+    grant("e0", 4, 500);
+    grant("e1", 4, 9);
+    grant("e2", 4, 8);
+    STRCMP_EQUAL("e1", promoted().c_str());
+}
+
+// Guards against losing acknowledged entries: without the unfit primary there is no majority.
+TEST(Promotion, choosesUnfitPrimaryWhenMajorityNeedsIt)
+{
+    request.avoidedMember = EndpointId("e0");
+    start();
+    grant("e0", 4, 500);
+    grant("e1", 4, 9);
+    wait(Milliseconds(1000));
+    STRCMP_EQUAL("e0", promoted().c_str());
+}
+
 // Guards against deciding by the status that was read before the member granted the term.
 TEST(Promotion, usesTheReportOfTheGrant)
 {
@@ -179,6 +202,24 @@
     CHECK_TRUE(promotion->isPublished());
 }
 
+// Guards against accepting tokens of a term of which the promoted log holds no entry.
+TEST(Promotion, dropsTermsThatBeganAboveThePromotedLog)
+{
+    start();
+    MemberAnswer answer{true, makeStatus(5, 2, 9)};
+    answer.status.history = {
+        {Term(1), LogPosition(0)}, {Term(2), LogPosition(9)}, {Term(3), LogPosition(10)}};
+    promotion->handleRaiseResult(EndpointId("e1"), Term(5), answer);
+    grant("e2", 1, 3);
+    wait(Milliseconds(1000));
+    promotion->handlePromoteResult(EndpointId("e1"), Term(5),
+                                   MemberAnswer{true, makeStatus(5, 5, 10)});
+    CHECK_TRUE(promotion->status().has_value());
+    const std::vector<TermStart> expected{
+        {Term(1), LogPosition(0)}, {Term(2), LogPosition(9)}, {Term(5), LogPosition(9)}};
+    CHECK_TRUE(promotion->status()->history == expected);
+}
+
 // Guards against a wait for the full timeout once a majority has refused.
 TEST(Promotion, refusalsEndTheAttemptAndShowTheNewerTerm)
 {
--- a/src/routing/read_router.cpp
+++ b/src/routing/read_router.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <compare>
+#include <tuple>
 
 namespace pistachiowood {
 
 namespace {
 
 constexpr double rateSmoothing = 0.2; // weight of the newest sample of the replication rate
+constexpr double successSmoothing = 0.1; // weight of the newest answer in the success rate
 
 Milliseconds elapsed(TimePoint from, TimePoint to)
 {
@@ -36,7 +38,14 @@
     int distance = 0;
     Milliseconds age{0};
 
-    auto operator<=>(const SortKey &) const = default;
+    bool operator==(const SortKey &) const = default;
+    // Not defaulted: clang-tidy's modernize-use-nullptr reports the 0 in the generated body.
+    auto operator<=>(const SortKey &other) const
+    {
+        return std::tie(unlikelyToSatisfy, distanceClass, isPrimary, distance, age)
+               <=> std::tie(other.unlikelyToSatisfy, other.distanceClass, other.isPrimary,
+                            other.distance, other.age);
+    }
 };
 
 ReadRouter::ReadRouter(Settings settings, const Clock &clock)
@@ -67,6 +76,8 @@
 void ReadRouter::recordVerdict(const EndpointId &endpoint, AnswerVerdict verdict)
 {
     Estimate &estimate = estimates_[endpoint];
+    const double sample = verdict == AnswerVerdict::Deliver ? 1 : 0;
+    estimate.successRate += successSmoothing * (sample - estimate.successRate);
     if (verdict == AnswerVerdict::Deliver) {
         estimate.staleAnswers = 0;
         estimate.ejections = 0;
@@ -129,8 +140,11 @@
     if (found == estimates_.end())
         return true; // unknown endpoints are tried so that an estimate exists
     const Estimate &estimate = found->second;
+    if (estimateAge(estimate) > requirement.maxAge)
+        return false;
+    // Reports of an idle daemon are old while the replica itself keeps up: the next answer decides.
     return estimatePosition(estimate) >= requirement.minPosition
-           && estimateAge(estimate) <= requirement.maxAge;
+           || estimate.successRate >= settings_.betThreshold;
 }
 
 ReadRouter::SortKey ReadRouter::sortKey(const ReadCandidate &candidate,
