Count rollbacks and settled resolves as good, not as refusals

Cause: a rollback that succeeded was counted as a refusal with reason internal, used up error budget and opened a write gap. A resolve for a service that does not exist created a record, whose availability alarm fired.

--- a/src/burn/service_metrics.cpp
+++ b/src/burn/service_metrics.cpp
@@ -12,6 +12,12 @@
     return answer.error ? answer.error->code : ErrorCode::Internal;
 }
 
+/// A rollback, or a resolve that settles a request as not run, ends without an error.
+bool isRefused(const StatementAnswer &answer)
+{
+    return answer.outcome != Outcome::Committed && answer.error;
+}
+
 bool isCallerFault(const StatementAnswer &answer)
 {
     return answer.outcome == Outcome::NotRun && isCallerError(reasonOf(answer));
@@ -76,8 +82,10 @@
 {
     if (const auto found = entries_.find(request.service); found != entries_.end())
         return &found->second;
-    // A caller can invent service names, so a refused request alone creates no record.
-    if (isCallerFault(answer) || entries_.size() >= maxRecordedServices)
+    // A caller can invent service names, so a refused request alone creates no record, nor does a
+    // resolve for a service that does not exist, whose outcome stays unknown.
+    const bool isInvented = isRefused(answer) && isCallerError(reasonOf(answer));
+    if (isInvented || entries_.size() >= maxRecordedServices)
         return nullptr;
     Entry &entry = entries_[request.service];
     entry.record = std::make_shared<ServiceRecord>();
@@ -111,14 +119,15 @@
     const auto kind = static_cast<std::size_t>(request.kind);
     ++record.outcomes[kind][static_cast<std::size_t>(answer.outcome)];
     const bool committed = answer.outcome == Outcome::Committed;
-    if (!committed)
+    const bool refused = isRefused(answer);
+    if (refused)
         ++record.refusals[static_cast<std::size_t>(reasonOf(answer))];
     if (isCallerFault(answer))
         return;
 
     BurnBucket counted;
     counted.total = 1;
-    counted.failed = committed ? 0 : 1;
+    counted.failed = refused ? 1 : 0;
     if (committed) {
         record.latency[kind].add(latency);
         counted.slow = latency > record.objectives.latency ? 1 : 0;
@@ -132,7 +141,7 @@
         }
     }
     record.history.minuteAt(0) += counted;
-    if (request.kind == StatementKind::Write)
+    if (request.kind == StatementKind::Write && (committed || refused))
         recordWriteGap(*entry, record, committed);
 }
 
--- a/src/burn/service_metrics_test.cpp
+++ b/src/burn/service_metrics_test.cpp
@@ -83,6 +83,30 @@
     UNSIGNED_LONGS_EQUAL(2, record->latency[0].count());
 }
 
+// Guards against rollbacks and settled requests that use up the error budget or open a write gap.
+TEST(ServiceMetrics, answersWithoutErrorAreNoRefusals)
+{
+    StatementRequest request;
+    request.service = ServiceName("cutlist-db");
+    request.kind = StatementKind::Write;
+    metrics.record(request, StatementAnswer{}, 10ms); // not run, without an error
+    clock.advance(3s);
+    finish(StatementKind::Write, Outcome::Committed);
+    const BurnBucket bucket = lastHour();
+    UNSIGNED_LONGS_EQUAL(2, bucket.total);
+    UNSIGNED_LONGS_EQUAL(0, bucket.failed);
+    UNSIGNED_LONGS_EQUAL(0, bucket.longestGapMs);
+    const auto record = metrics.snapshot().services.at(0);
+    UNSIGNED_LONGS_EQUAL(0, record->refusals[static_cast<std::size_t>(ErrorCode::Internal)]);
+}
+
+// Guards against records of invented services, whose objectives would fire alarms.
+TEST(ServiceMetrics, unknownOutcomeOfAMissingServiceCreatesNoRecord)
+{
+    finish(StatementKind::Write, Outcome::Unknown, ErrorCode::NotFound);
+    CHECK_TRUE(metrics.snapshot().services.empty());
+}
+
 // Guards against a gap that restarts with each failed write or hides until it has ended.
 TEST(ServiceMetrics, writeGapRunsFromFirstFailedToNextCommittedWrite)
 {
