Answer a resolve that settles a request as not run with status 200

Cause: the answer was 503 unavailable, which tells callers to repeat a resolve that had succeeded. The system test now checks the status as well.

--- a/src/statements/write_execution.cpp
+++ b/src/statements/write_execution.cpp
@@ -144,14 +144,16 @@
 
 void WriteExecution::handleExecuted(const AttemptAnswer &answer)
 {
-    if (resolving_ && !answer.resolvedCommitted) {
+    const bool isRefusedForGood = resolving_ && !answer.resolvedCommitted;
+    if (isRefusedForGood && operation_ != AttemptOperation::Resolve) {
         finish(Outcome::NotRun,
                Error{ErrorCode::Unavailable,
                      "the request was not executed and is now refused for good"},
                &answer);
         return;
     }
-    if (operation_ == AttemptOperation::Rollback) {
+    // For these the caller got what it asked for, so there is no error.
+    if (isRefusedForGood || operation_ == AttemptOperation::Rollback) {
         finish(Outcome::NotRun, std::nullopt, &answer);
         return;
     }
--- a/tests/system/path_test.py
+++ b/tests/system/path_test.py
@@ -101,8 +101,8 @@
         self.assertEqual(self.values(daemons[-1], "dup", last["session"]), ["once"])
         status, resolved = self.post(daemons[1], "requests/dup-1/resolve")
         self.assertEqual((status, resolved["outcome"]), (200, "committed"), resolved)
-        _, refused = self.post(daemons[2], "requests/dup-never-sent/resolve")
-        self.assertEqual(refused["outcome"], "not_run", refused)
+        status, refused = self.post(daemons[2], "requests/dup-never-sent/resolve")
+        self.assertEqual((status, refused["outcome"]), (200, "not_run"), refused)
         _, late = self.write(daemons[3], "dup", "late", request_id="dup-never-sent")
         self.assertEqual(late["outcome"], "not_run", late)
 
