--- a/src/configuration/configuration_feed.cpp
+++ b/src/configuration/configuration_feed.cpp
@@ -45,9 +45,11 @@
     outstanding_ = ++lastRequest_;
     watchStarted_ = now;
     watchFrom_ = store_.version();
-    nextAt_ = now + options_.watchWait + 2 * options_.watchTimeout;
-    return withSchedule(
-        {WatchObjects{outstanding_, watchFrom_, options_.watchWait, options_.watchTimeout}});
+    // After a failure the platform answers at once, or its recovery would show up to a whole wait
+    // late.
+    const Milliseconds wait = failures_ > 0 ? Milliseconds(0) : options_.watchWait;
+    nextAt_ = now + wait + 2 * options_.watchTimeout;
+    return withSchedule({WatchObjects{outstanding_, watchFrom_, wait, options_.watchTimeout}});
 }
 
 FeedCommands ConfigurationFeed::fetch(TimePoint now)
--- a/src/configuration/configuration_feed_test.cpp
+++ b/src/configuration/configuration_feed_test.cpp
@@ -89,6 +89,22 @@
     CHECK_EQUAL(10U, advanceTo<WatchObjects>(commands).from.value());
 }
 
+// Guards against a daemon that reports the platform as unreachable until the next change or the
+// end of a long watch.
+TEST(ConfigurationFeed, noticesRecoveryWithoutAChange)
+{
+    const auto watch = beginWatch(10);
+    CHECK_TRUE(watch.wait > Milliseconds(0));
+    const auto retry =
+        advanceTo<WatchObjects>(feed.handleWatch(now, watch.request, Error{unavailable}));
+    CHECK_FALSE(feed.platformAnswers());
+    CHECK_EQUAL(0, retry.wait.count());
+    const auto answered =
+        feed.handleWatch(now, retry.request, WatchAnswer{ResourceVersion(10), {}});
+    CHECK_TRUE(feed.platformAnswers());
+    CHECK_TRUE(advanceTo<WatchObjects>(answered).wait == watch.wait);
+}
+
 // Guards against a daemon that watches for ever from a version the platform has dropped.
 TEST(ConfigurationFeed, relistsWhenTheVersionIsTooOld)
 {
