--- a/tools/pistachioctl/pistachioctl_test.cpp
+++ b/tools/pistachioctl/pistachioctl_test.cpp
@@ -84,6 +84,15 @@
     CHECK_TRUE(errors.str().find("was not made") != std::string::npos);
 }
 
+// Guards against a message that leaves open which daemon could not be reached.
+TEST(Pistachioctl, failureNamesTheDaemon)
+{
+    answers = {HttpFailure{HttpFailure::Kind::Refused, false, "refused"}};
+    LONGS_EQUAL(3, run({"status", "--server", "127.0.0.1:7009"}));
+    STRCMP_EQUAL("error: no answer from the daemon at 127.0.0.1:7009: refused\n",
+                 errors.str().c_str());
+}
+
 // Guards against a request that is sent in spite of a usage error.
 TEST(Pistachioctl, usageErrorsSendNothing)
 {
--- a/tools/pistachioctl/session.cpp
+++ b/tools/pistachioctl/session.cpp
@@ -1,6 +1,7 @@
 #include "pistachioctl/session.h"
 
 #include "base/json.h"
+#include "base/settings.h"
 
 #include <algorithm>
 #include <array>
@@ -161,7 +162,8 @@
 ExitCode Session::report(const HttpOutcome &outcome, bool isChange, Renderer render)
 {
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
-        surroundings_.errors << "error: " << failure->message << '\n';
+        surroundings_.errors << "error: no answer from the daemon at "
+                             << formatAddress(line_.server) << ": " << failure->message << '\n';
         if (isChange)
             surroundings_.errors << (failure->requestSent
                                          ? "The change may have been made; read the object again.\n"
