--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -9,6 +9,8 @@
 
 Result<json::object> parseJsonObject(std::string_view text)
 {
+    if (text.empty())
+        return makeError(ErrorCode::InvalidArgument, "the body is empty; it must be a JSON object");
     json::parse_options options;
     options.max_depth = maxJsonDepth;
     json::error_code failure;
--- /dev/null
+++ b/src/base/json_test.cpp
@@ -0,0 +1,17 @@
+#include "base/json.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+
+TEST_GROUP(JsonBody){};
+
+// Guards against a message about incomplete JSON for a request whose body was forgotten.
+TEST(JsonBody, emptyBodyIsNamed)
+{
+    const auto parsed = capture([] { return parseJsonObject(""); });
+    const auto *error = std::get_if<Error>(&parsed);
+    CHECK_TRUE(error != nullptr);
+    CHECK_TRUE(error->code == ErrorCode::InvalidArgument);
+    STRCMP_EQUAL("the body is empty; it must be a JSON object", error->message.c_str());
+}
