--- a/tests/system/failures_test.py
+++ b/tests/system/failures_test.py
@@ -10,11 +10,14 @@
 # Long enough to see a gap of the allowed length after a fault in the second second.
 FAILOVER_LOAD_S = 14.5
 FAULT_DELAY_S = 1.5
-LOAD_FLAGS = ("--rate=150", "--sessions=60", "--roam=0.3", "--read-share=0.5", "--max-age-share=0.3",
-              "--non-idempotent-share=0.5", "--transaction-share=0.2", "--deadline-ms=1500")
 LEAVING_LIMIT_S = 3  # invariant 7
 
 
+def load_flags(transaction_share=0.2):
+    return ("--rate=150", "--sessions=60", "--roam=0.3", "--read-share=0.5", "--max-age-share=0.3",
+            "--non-idempotent-share=0.5", f"--transaction-share={transaction_share}", "--deadline-ms=1500")
+
+
 class FailuresTest(SystemCase):
     service = "general"
 
@@ -55,7 +58,7 @@
     def test_primary_killed_and_primary_frozen(self):
         killed_term, killed = self.primary("killed")
         frozen_term, frozen = self.primary("frozen")
-        load = self.start_load(FAILOVER_LOAD_S, 201, *LOAD_FLAGS, services=["killed", "frozen"])
+        load = self.start_load(FAILOVER_LOAD_S, 201, *load_flags(), services=["killed", "frozen"])
         time.sleep(FAULT_DELAY_S)
         self.cluster.kill(killed)
         self.cluster.freeze(frozen)
@@ -70,7 +73,7 @@
     # Guards against acknowledgements by a primary that daemons reach but that has no majority.
     def test_primary_isolated_from_other_endpoints(self):
         term, primary = self.primary("isolated")
-        load = self.start_load(FAILOVER_LOAD_S, 202, *LOAD_FLAGS, services=["isolated"])
+        load = self.start_load(FAILOVER_LOAD_S, 202, *load_flags(), services=["isolated"])
         time.sleep(FAULT_DELAY_S)
         self.cluster.links.isolate_zone(self.cluster.endpoints[primary]["zone"], kinds=("endpoint",))
         term, successor = self.cluster.wait_new_primary("isolated", term)
@@ -83,7 +86,7 @@
     # Guards against a promotion that needs the platform, and a status that never reaches it afterwards.
     def test_platform_outage_during_promotion(self):
         term, primary = self.primary("outage")
-        load = self.start_load(FAILOVER_LOAD_S, 203, *LOAD_FLAGS, services=["outage"])
+        load = self.start_load(FAILOVER_LOAD_S, 203, *load_flags(), services=["outage"])
         time.sleep(FAULT_DELAY_S)
         self.cluster.set_platform_faults(outage=True)
         self.cluster.kill(primary)
@@ -101,7 +104,7 @@
     def test_zone_cut_off_and_healed(self):
         zone = self.zone_without_primary()
         inside = self.daemon_in(zone)
-        load = self.start_load(9, 204, *LOAD_FLAGS)
+        load = self.start_load(9, 204, *load_flags())
         time.sleep(FAULT_DELAY_S)
         self.cluster.links.isolate_zone(zone)
         cut_at = time.monotonic()
@@ -126,10 +129,12 @@
 
     # Guards against an untrue outcome of a transaction whose daemon died.
     def test_daemon_killed_in_transaction(self):
-        daemons = list(self.cluster.daemons)
-        holder, other = daemons[2], daemons[0]
-        load = self.start_load(5, 205, *LOAD_FLAGS, "--transaction-share=0.8")
-        transaction = self.begin(holder)
+        load = self.start_load(5, 205, *load_flags(transaction_share=0.8))
+        transaction = self.begin(next(iter(self.cluster.daemons)))
+        holder = transaction.split("~")[0]
+        self.addCleanup(self.cluster.wait_ready, 20)
+        self.addCleanup(self.cluster.start_daemon, holder)
+        other = next(name for name in self.cluster.daemons if name != holder)
         status, answer = self.write(other, "orphan", "1", transaction=transaction)
         self.assertEqual(status, 200, answer)
         time.sleep(1)
@@ -142,8 +147,6 @@
         self.assertEqual(self.values(other, "orphan", marker["session"]) or [], [])
         load.finish()
         self.assert_history_holds(load)
-        self.cluster.start_daemon(holder)
-        self.cluster.wait_ready(20)
 
     # Guards against a change that is lost or made twice when its answer from the platform is lost.
     def test_lost_platform_answers(self):
