--- a/src/administration/administration_api_test.cpp
+++ b/src/administration/administration_api_test.cpp
@@ -86,7 +86,7 @@
     {
         OwnerTable owners;
         owners.update(daemons);
-        return buildRoutingTable(*store.view(), daemons, owners);
+        return RoutingBuilder().build(store.view(), daemons, owners);
     }
     std::optional<Assessment> assessService(const ServiceName &service) const override
     {
