--- a/scripts/benchmark.py
+++ b/scripts/benchmark.py
@@ -129,7 +129,7 @@
     def paths(self):
         with self.start((2, 1, 1)) as deployed:
             deployed.wait_ready()
-            primary = deployed.find_primary(SERVICE)
+            _, primary = deployed.find_primary(SERVICE)
             # The daemon that owns the primary's endpoint needs no forwarding; it is found by its counters.
             in_zone = [name for name, daemon in deployed.daemons.items()
                        if daemon["zone"] == deployed.endpoints[primary]["zone"]]
--- a/scripts/control_slopes.py
+++ b/scripts/control_slopes.py
@@ -55,15 +55,15 @@
         self.service_versions = {}
 
     def _start(self):
-        (port,) = clusters.reserve_ports(1)
-        self.platform = f"{clusters.HOST}:{port}"
+        port = self.platform.rsplit(":", 1)[1]
         self.launch("platform", self.program(
             "platform_standin", f"--port={port}", "--max-writes-per-second=100000",
             "--max-reads-per-second=100000", "--event-history=20000"))
         clusters.wait_until(lambda: clusters.call(self.platform, "GET", "/v1/objects")[0] == 200, 10, "platform")
         self._start_shared()
         self._store()
-        self._start_daemons()
+        for name in self.daemons:
+            self.start_daemon(name)
 
     def _start_shared(self):
         ports = clusters.reserve_ports(3)
--- a/src/membership/owner_table.cpp
+++ b/src/membership/owner_table.cpp
@@ -82,8 +82,8 @@
     }
     // The choice of zones depends on their names, so only the best daemon of this zone can change.
     std::erase_if(responsible_, [&](const auto &item) {
-        const auto &[service, daemons] = item;
-        return std::ranges::any_of(daemons, [&](const VmId &id) {
+        const ServiceName &service = item.first;
+        return std::ranges::any_of(item.second, [&](const VmId &id) {
             return zoneMembers.contains(id)
                    && score(service.value(), candidate.id, responsibleSeed)
                           >= score(service.value(), id, responsibleSeed);
