--- a/scripts/control_slopes.py
+++ b/scripts/control_slopes.py
@@ -55,6 +55,7 @@
         self.service_versions = {}
 
     def _start(self):
+        self._choose_addresses()
         port = self.platform.rsplit(":", 1)[1]
         self.launch("platform", self.program(
             "platform_standin", f"--port={port}", "--max-writes-per-second=100000",
