--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -100,6 +100,13 @@
         return makeError(ErrorCode::InvalidArgument,
                          "setting --token-key must have at least 16 characters");
     BOOST_LEAF_ASSIGN(settings.adminCredentials, CredentialList::parse(raw.adminCredentials));
+    // Daemons of rank 1 and above probe half as often; a longer interval would suspect healthy
+    // primaries.
+    const ControllerSettings &controller = settings.control.controller;
+    if (controller.standbyProbeFactor * controller.probeInterval
+        >= controller.detector.suspicionTimeout)
+        return makeError(ErrorCode::InvalidArgument,
+                         "setting --probe-interval-ms must be less than half of --suspicion-ms");
     const bool isLoopback = settings.control.adminAddress.host.starts_with("127.");
     if (settings.adminCredentials.empty() && !isLoopback)
         return makeError(
