--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -99,6 +99,17 @@
     return json::serialize(counters);
 }
 
+// Runs the action on the parsed request, or answers with the parse error.
+template <typename Parse, typename Action>
+void parseOrRefuse(const HttpServer::Responder &respond, const Parse &parse, const Action &action)
+{
+    const auto parsed = capture(parse);
+    if (const auto *error = std::get_if<Error>(&parsed))
+        respond(errorResponse(*error));
+    else
+        action(std::get<StatementRequest>(parsed));
+}
+
 } // namespace
 
 CallerApi::CallerApi(StatementRouter &router, const SessionTokenCodec &codec, const Clock &clock,
@@ -231,65 +242,54 @@
 void CallerApi::handleStatement(const std::string &service, const HttpRequest &request,
                                 const HttpServer::Responder &respond)
 {
-    const auto parsed = capture([&] { return parseStatement(service, request); });
-    if (const auto *error = std::get_if<Error>(&parsed)) {
-        respond(errorResponse(*error));
-        return;
-    }
-    const auto &statement = std::get<StatementRequest>(parsed);
-    router_.handleStatement(statement, answerWith(respond, statement));
+    parseOrRefuse(
+        respond, [&] { return parseStatement(service, request); },
+        [&](const StatementRequest &statement) {
+            router_.handleStatement(statement, answerWith(respond, statement));
+        });
 }
 
 void CallerApi::handleBegin(const std::string &service, const HttpRequest &request,
                             const HttpServer::Responder &respond)
 {
-    const auto parsed = capture([&] { return parseEnvelope(service, request); });
-    if (const auto *error = std::get_if<Error>(&parsed)) {
-        respond(errorResponse(*error));
-        return;
-    }
-    router_.beginTransaction(
-        std::get<StatementRequest>(parsed),
-        [this, respond](const StatementAnswer &answer, const std::optional<TransactionId> &begun) {
-            respond({statusOf(answer), encodeAnswer(answer, begun)});
-        });
+    const auto answer = [this, respond](const StatementAnswer &result,
+                                        const std::optional<TransactionId> &begun) {
+        respond({statusOf(result), encodeAnswer(result, begun)});
+    };
+    parseOrRefuse(
+        respond, [&] { return parseEnvelope(service, request); },
+        [&](const StatementRequest &statement) { router_.beginTransaction(statement, answer); });
 }
 
 void CallerApi::handleFinish(const std::string &service, const std::string &transaction,
                              bool commit, const HttpRequest &request,
                              const HttpServer::Responder &respond)
 {
-    const auto parsed = capture([&]() -> Result<StatementRequest> {
+    const auto parse = [&]() -> Result<StatementRequest> {
         BOOST_LEAF_AUTO(statement, parseEnvelope(service, request));
         BOOST_LEAF_AUTO(id, checkId("transaction", transaction));
         statement.transaction = TransactionId(id);
         statement.kind = StatementKind::Write;
         return statement;
+    };
+    parseOrRefuse(respond, parse, [&](const StatementRequest &statement) {
+        router_.finishTransaction(statement, commit, answerWith(respond, statement));
     });
-    if (const auto *error = std::get_if<Error>(&parsed)) {
-        respond(errorResponse(*error));
-        return;
-    }
-    const auto &statement = std::get<StatementRequest>(parsed);
-    router_.finishTransaction(statement, commit, answerWith(respond, statement));
 }
 
 void CallerApi::handleResolve(const std::string &service, const std::string &requestId,
                               const HttpRequest &request, const HttpServer::Responder &respond)
 {
-    const auto parsed = capture([&]() -> Result<StatementRequest> {
+    const auto parse = [&]() -> Result<StatementRequest> {
         BOOST_LEAF_AUTO(statement, parseEnvelope(service, request));
         BOOST_LEAF_AUTO(id, checkId("request_id", requestId));
         statement.requestId = RequestId(id);
         statement.kind = StatementKind::Write;
         return statement;
+    };
+    parseOrRefuse(respond, parse, [&](const StatementRequest &statement) {
+        router_.resolveRequest(statement, answerWith(respond, statement));
     });
-    if (const auto *error = std::get_if<Error>(&parsed)) {
-        respond(errorResponse(*error));
-        return;
-    }
-    const auto &statement = std::get<StatementRequest>(parsed);
-    router_.resolveRequest(statement, answerWith(respond, statement));
 }
 
 std::string CallerApi::encodeAnswer(const StatementAnswer &answer,
