Serve byte counters on the administration port; apply a service's queue limit as configured

Cause: /counters on the caller port needed no credential, and the executor capped queue_limit at 256 while the configuration accepts up to 100000. Both found by review of the guides.

--- a/scripts/benchmark.py
+++ b/scripts/benchmark.py
@@ -169,7 +169,7 @@
 
     @staticmethod
     def counters(deployed, name):
-        return clusters.call(deployed.daemons[name]["caller"], "GET", "/counters")[1]
+        return clusters.call(deployed.daemons[name]["admin"], "GET", "/counters")[1]
 
     def client_limit(self, request):
         """Highest rate of the client against a daemon that answers without work."""
--- a/scripts/control_slopes.py
+++ b/scripts/control_slopes.py
@@ -105,7 +105,7 @@
             cpu.update(read_cpu(pid)[1])
         traffic = collections.Counter()
         for name, daemon in self.daemons.items():
-            for connection_class, values in clusters.call(daemon["caller"], "GET", "/counters")[1].items():
+            for connection_class, values in clusters.call(daemon["admin"], "GET", "/counters")[1].items():
                 traffic[connection_class, "sent"] += values["sent"]
                 traffic[connection_class, "received"] += values["received"]
                 traffic[connection_class, "messages"] += values["messages"]
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admin_server.h"
 
+#include "base/byte_counters.h"
 #include "base/json.h"
 #include "burn/snapshot_codec.h"
 
@@ -7,6 +8,25 @@
 
 namespace pistachiowood {
 
+namespace json = boost::json;
+
+namespace {
+
+std::string describeCounters()
+{
+    json::object counters;
+    for (std::size_t i = 0; i < connectionClassCount; ++i) {
+        const auto connectionClass = static_cast<ConnectionClass>(i);
+        const ByteCounter &counter = byteCounter(connectionClass);
+        counters[connectionClassName(connectionClass)] = {{"received", counter.received.load()},
+                                                          {"sent", counter.sent.load()},
+                                                          {"messages", counter.messages.load()}};
+    }
+    return json::serialize(counters);
+}
+
+} // namespace
+
 AdminServer::AdminServer(EventLoop &loop, AdministrationApi &api, CredentialList credentials,
                          RecordRequester requester)
     : api_(api)
@@ -25,7 +45,8 @@
 
 void AdminServer::handle(const HttpRequest &request, const HttpServer::Responder &respond)
 {
-    const bool isRecord = request.target == "/metrics" || request.target == "/v1/burn/local";
+    const bool isRecord = request.target == "/metrics" || request.target == "/v1/burn/local"
+                          || request.target == "/counters";
     if (request.method == "GET" && isRecord)
         handleRecord(request, respond);
     else
@@ -39,6 +60,10 @@
         respond({httpStatusOf(error->code), errorBody(*error)});
         return;
     }
+    if (request.target == "/counters") {
+        respond({200, describeCounters()});
+        return;
+    }
     const bool isExposition = request.target == "/metrics";
     requester_([respond, isExposition](const TrafficRecord &record) {
         if (isExposition)
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,5 @@
 #include "daemon/caller_api.h"
 
-#include "base/byte_counters.h"
 #include "base/json.h"
 #include "net/request_target.h"
 
@@ -86,19 +85,6 @@
     return labels;
 }
 
-std::string describeCounters()
-{
-    json::object counters;
-    for (std::size_t i = 0; i < connectionClassCount; ++i) {
-        const auto connectionClass = static_cast<ConnectionClass>(i);
-        const ByteCounter &counter = byteCounter(connectionClass);
-        counters[connectionClassName(connectionClass)] = {{"received", counter.received.load()},
-                                                          {"sent", counter.sent.load()},
-                                                          {"messages", counter.messages.load()}};
-    }
-    return json::serialize(counters);
-}
-
 // Runs the action on the parsed request, or answers with the parse error.
 template <typename Parse, typename Action>
 void parseOrRefuse(const HttpServer::Responder &respond, const Parse &parse, const Action &action)
@@ -134,10 +120,6 @@
                  draining_ ? R"({"status":"draining"})" : R"({"status":"ok"})"});
         return;
     }
-    if (path.size() == 1 && path[0] == "counters") {
-        respond({200, describeCounters()});
-        return;
-    }
     const bool isService = path.size() >= 4 && path[0] == "v1" && path[1] == "services";
     if (isService && request.method != "POST") {
         respond({405, errorBody({ErrorCode::InvalidArgument, "use POST"})});
--- a/src/statements/attempt_executor.cpp
+++ b/src/statements/attempt_executor.cpp
@@ -85,7 +85,7 @@
             owns ? std::max(1U,
                             connections - std::min(settings.reservedConnections, connections - 1))
                  : std::min(settings.connectionsWithoutOwnership, connections);
-        limits.queueLimit = std::min(settings.queueLimit, routes.spec.queueLimit);
+        limits.queueLimit = routes.spec.queueLimit;
         return limits;
     }
 
--- a/src/statements/attempt_executor.h
+++ b/src/statements/attempt_executor.h
@@ -27,7 +27,6 @@
         std::uint32_t reservedConnections =
             6; ///< of each endpoint, left to daemons that do not own it
         std::uint32_t connectionsWithoutOwnership = 2;
-        std::uint32_t queueLimit = 256;
     };
 
     using Observer = std::function<void(const EndpointId &, const EndpointReport &)>;
