Prefer a primary in the region with most members when logs are equal

Cause: ties went to the lowest id, which put every Kartvelian primary into kut-east, the region with one member; each write then crossed the link between regions for its majority. Change: between equal logs the member with more members in its region wins, after the preferred zone. Ruled out: a setting per service, which operators would have to find first; moving primaries that serve already, which costs a gap.

--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -297,7 +297,7 @@
         if (const auto group = view.endpointsByService.find(service.name);
             group != view.endpointsByService.end()) {
             for (const auto &endpoint : group->second) {
-                members.push_back(describeMember(service, *endpoint));
+                members.push_back(describeMember(service, *endpoint, group->second));
                 addresses.emplace(endpoint->id, endpoint->address);
             }
         }
@@ -315,7 +315,8 @@
                                                       : StatusSource::Gossip;
     }
 
-    static GroupMember describeMember(const ServiceSpec &service, const EndpointSpec &endpoint)
+    static GroupMember describeMember(const ServiceSpec &service, const EndpointSpec &endpoint,
+                                      const ConfigurationView::Endpoints &group)
     {
         const auto selector = capture([&] { return Selector::parse(service.primarySelector); });
         const auto *parsed = std::get_if<Selector>(&selector);
@@ -324,6 +325,9 @@
         member.zone = endpoint.zone;
         member.candidate = !parsed || parsed->matches(endpoint.labels);
         member.leaving = endpoint.leaving;
+        member.regionMembers = static_cast<std::size_t>(
+            std::count_if(group.begin(), group.end(),
+                          [&](const auto &other) { return other->region == endpoint.region; }));
         return member;
     }
 
--- a/src/primary/promotion.cpp
+++ b/src/primary/promotion.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -161,8 +162,11 @@
 void Promotion::choosePrimary()
 {
     const auto rankOf = [this](const GroupMember &member) {
-        return std::tuple(!member.mayBePrimary(), member.id != request_.preferredMember,
-                          member.zone != request_.preferredZone, member.id);
+        return std::tuple(
+            !member.mayBePrimary(), member.id != request_.preferredMember,
+            member.zone != request_.preferredZone,
+            // A majority within the primary's region saves writes the link between regions.
+            std::numeric_limits<std::size_t>::max() - member.regionMembers, member.id);
     };
     std::vector<GroupMember> granted;
     std::ranges::copy_if(request_.members, std::back_inserter(granted),
--- a/src/primary/promotion.h
+++ b/src/primary/promotion.h
@@ -20,6 +20,7 @@
     ZoneName zone;
     bool candidate = true; ///< matches the service's primary selector
     bool leaving = false;
+    std::size_t regionMembers = 1; ///< members in its region, with itself
 
     bool mayBePrimary() const { return candidate && !leaving; }
     friend bool operator==(const GroupMember &, const GroupMember &) = default;
--- a/src/primary/promotion_test.cpp
+++ b/src/primary/promotion_test.cpp
@@ -153,6 +153,18 @@
     STRCMP_EQUAL("e2", promoted().c_str());
 }
 
+// Guards against a primary whose writes must cross the link between regions for each majority.
+TEST(Promotion, tiesGoToTheRegionWithMostMembers)
+{
+    request.members[1].regionMembers = 2;
+    request.members[2].regionMembers = 2;
+    start();
+    grant("e0", 4, 9);
+    grant("e1", 4, 9);
+    grant("e2", 4, 9);
+    STRCMP_EQUAL("e1", promoted().c_str());
+}
+
 // Guards against losing entries for the sake of the primary selector.
 TEST(Promotion, promotesHighestLogEvenIfNotAllowed)
 {
