--- a/src/administration/change_validation.cpp
+++ b/src/administration/change_validation.cpp
@@ -1,5 +1,6 @@
 #include "administration/change_validation.h"
 
+#include "base/address.h"
 #include "base/json.h"
 #include "configuration/selector.h"
 
@@ -134,7 +135,7 @@
     for (const auto &[service, group] : view.endpointsByService) {
         for (const auto &other : group) {
             if (other->id != endpoint.id && other->address == endpoint.address)
-                return refuse("address " + encodeAddress(endpoint.address)
+                return refuse("address " + formatAddress(endpoint.address)
                               + " is already used by endpoint " + quote(other->id.value()));
         }
     }
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,6 +1,5 @@
 #include "base/settings.h"
 
-#include <arpa/inet.h>
 #include <cxxopts.hpp>
 
 #include <charconv>
@@ -47,25 +46,6 @@
 
 } // namespace
 
-Result<SocketAddress> parseAddress(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    in_addr ignored{};
-    if (colon != std::string::npos
-        && inet_pton(AF_INET, text.substr(0, colon).c_str(), &ignored) == 1) {
-        if (const auto port = parseInteger(text.substr(colon + 1));
-            port && *port >= 0 && *port <= UINT16_MAX)
-            return SocketAddress{text.substr(0, colon), static_cast<std::uint16_t>(*port)};
-    }
-    return makeError(ErrorCode::InvalidArgument,
-                     "\"" + text + "\" is not an IPv4 address with port, such as 127.0.0.1:8080");
-}
-
-std::string formatAddress(const SocketAddress &address)
-{
-    return address.host + ":" + std::to_string(address.port);
-}
-
 SettingsParser::SettingsParser(std::string program, std::string description)
     : program_(std::move(program))
     , description_(std::move(description))
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -1,6 +1,8 @@
 #ifndef PISTACHIOWOOD_BASE_SETTINGS_H
 #define PISTACHIOWOOD_BASE_SETTINGS_H
 
+#include "base/address.h"
+
 #include <pistachiowood/clock.h>
 #include <pistachiowood/error.h>
 #include <pistachiowood/ids.h>
@@ -13,10 +15,6 @@
 
 namespace pistachiowood {
 
-/// Parses "host:port" with a numeric IPv4 host.
-Result<SocketAddress> parseAddress(const std::string &text);
-std::string formatAddress(const SocketAddress &address);
-
 /// Settings of a program, each given by a flag or an environment variable; a flag wins.
 /// "--caller-port" corresponds to PISTACHIOWOOD_CALLER_PORT.
 class SettingsParser
--- a/src/configuration/object_codec.cpp
+++ b/src/configuration/object_codec.cpp
@@ -1,10 +1,9 @@
 #include "configuration/object_codec.h"
 
+#include "base/address.h"
 #include "base/json.h"
 #include "configuration/selector.h"
 
-#include <arpa/inet.h>
-
 #include <array>
 #include <charconv>
 #include <span>
@@ -207,7 +206,7 @@
                 BOOST_LEAF_ASSIGN(target.*Member, decodeAddress(text, path));
                 return {};
             },
-            [](const T &source) { return json::value(encodeAddress(source.*Member)); }};
+            [](const T &source) { return json::value(formatAddress(source.*Member)); }};
 }
 
 template <auto Member>
@@ -479,23 +478,11 @@
 
 Result<SocketAddress> decodeAddress(std::string_view text, std::string_view field)
 {
-    const std::size_t colon = text.rfind(':');
-    if (colon != std::string_view::npos) {
-        SocketAddress address{std::string(text.substr(0, colon))};
-        const char *end = text.data() + text.size();
-        const auto [rest, failure] = std::from_chars(text.data() + colon + 1, end, address.port);
-        in_addr parsed{};
-        if (failure == std::errc() && rest == end && address.port != 0
-            && inet_pton(AF_INET, address.host.c_str(), &parsed) == 1)
-            return address;
-    }
+    const auto parsed = capture([&] { return parsePeerAddress(std::string(text)); });
+    if (const auto *address = std::get_if<SocketAddress>(&parsed))
+        return *address;
     return fieldError(std::string(field),
                       "\"host:port\" with a numeric IPv4 host and a port between 1 and 65535");
 }
 
-std::string encodeAddress(const SocketAddress &address)
-{
-    return address.host + ":" + std::to_string(address.port);
-}
-
 } // namespace pistachiowood
--- a/src/configuration/object_codec.h
+++ b/src/configuration/object_codec.h
@@ -35,7 +35,6 @@
 
 /// "host:port" with a numeric IPv4 host; `field` names the source in the error.
 Result<SocketAddress> decodeAddress(std::string_view text, std::string_view field);
-std::string encodeAddress(const SocketAddress &address);
 
 } // namespace pistachiowood
 
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -3,6 +3,7 @@
 #include "base/byte_counters.h"
 #include "base/json.h"
 #include "burn/snapshot_codec.h"
+#include "net/http_error.h"
 
 #include <string>
 
@@ -57,7 +58,7 @@
 {
     const auto access = capture([&] { return credentials_.authenticate(request.bearer); });
     if (const auto *error = std::get_if<Error>(&access)) {
-        respond({httpStatusOf(error->code), errorBody(*error)});
+        respond(errorResponse(*error));
         return;
     }
     if (request.target == "/counters") {
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_api.h"
 
 #include "base/json.h"
+#include "net/http_error.h"
 #include "net/request_target.h"
 
 #include <algorithm>
@@ -21,11 +22,6 @@
     "request_id", "deadline_ms", "transaction", "labels",
 };
 
-HttpResponse errorResponse(const Error &error)
-{
-    return {httpStatusOf(error.code), errorBody(error)};
-}
-
 unsigned statusOf(const StatementAnswer &answer)
 {
     if (answer.outcome == Outcome::Committed || !answer.error)
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_plane.h"
 
+#include "base/address.h"
 #include "base/log.h"
 #include "configuration/configuration_feed.h"
 #include "configuration/platform_client.h"
@@ -233,7 +234,7 @@
                 || std::any_of(list.begin(), list.end(),
                                [&](const VmListEntry &vm) { return vm.control == seed; });
             if (!isKnown)
-                list.push_back({VmId("seed-" + seed.host + ":" + std::to_string(seed.port)), seed});
+                list.push_back({VmId("seed-" + formatAddress(seed)), seed});
         }
         return list;
     }
--- a/src/endpoints/endpoint_protocol.cpp
+++ b/src/endpoints/endpoint_protocol.cpp
@@ -1,5 +1,6 @@
 #include "endpoints/endpoint_protocol.h"
 
+#include "base/address.h"
 #include "base/json.h"
 
 #include <algorithm>
@@ -256,8 +257,7 @@
 {
     return post("/v1/follow", {{"term", term.value()},
                                {"primary", primary.value()},
-                               {"primary_address",
-                                primaryAddress.host + ":" + std::to_string(primaryAddress.port)}});
+                               {"primary_address", formatAddress(primaryAddress)}});
 }
 
 Result<GrantAnswer> decodeGrant(const HttpOutcome &outcome)
--- a/src/net/http_codec.cpp
+++ b/src/net/http_codec.cpp
@@ -1,5 +1,7 @@
 #include "net/http_codec.h"
 
+#include "base/address.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
@@ -175,7 +177,7 @@
 {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
                                              11);
-    message.set(http::field::host, host.host + ":" + std::to_string(host.port));
+    message.set(http::field::host, formatAddress(host));
     if (!request.bearer.empty())
         message.set(http::field::authorization, std::string(bearerPrefix) + request.bearer);
     if (!request.body.empty())
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_codec.h"
 
+#include "base/address.h"
 #include "base/json.h"
 
 #include <ace/Event_Handler.h>
@@ -305,7 +306,7 @@
 Result<void> HttpServer::listen(const SocketAddress &address)
 {
     ACE_INET_Addr local;
-    const std::string name = address.host + ":" + std::to_string(address.port);
+    const std::string name = formatAddress(address);
     if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
         return makeError(ErrorCode::InvalidArgument, "invalid listen address " + name);
     if (private_->acceptor.open(local, 1, AF_INET, listenBacklog) != 0)
--- a/src/rpc/rpc_host.cpp
+++ b/src/rpc/rpc_host.cpp
@@ -1,5 +1,6 @@
 #include "rpc/rpc_host.h"
 
+#include "base/address.h"
 #include "net/address_overrides.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -23,11 +24,6 @@
 // deadline.
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
 
-std::string addressText(const SocketAddress &address)
-{
-    return address.host + ":" + std::to_string(address.port);
-}
-
 // Tasks from other threads, and the means to wake the RPC thread.
 class Mailbox
 {
@@ -154,17 +150,17 @@
 
     kj::Promise<capnp::Capability::Client> connect(const SocketAddress &peer) override
     {
-        const std::string key = addressText(peer);
+        const std::string key = formatAddress(peer);
         if (const auto found = connections_.find(key); found != connections_.end())
             return found->second->bootstrap.addBranch();
         auto connection =
-            kj::heap<Connection>(open(key, addressText(overriddenAddress(peer))).fork());
+            kj::heap<Connection>(open(key, formatAddress(overriddenAddress(peer))).fork());
         auto branch = connection->bootstrap.addBranch();
         connections_.emplace(key, kj::mv(connection));
         return branch;
     }
 
-    void dropConnection(const SocketAddress &peer) override { remove(addressText(peer)); }
+    void dropConnection(const SocketAddress &peer) override { remove(formatAddress(peer)); }
 
 private:
     struct Connection
@@ -261,7 +257,7 @@
         kj::Own<kj::ConnectionReceiver> receiver;
         try {
             auto local =
-                io.provider->getNetwork().parseAddress(addressText(address)).wait(io.waitScope);
+                io.provider->getNetwork().parseAddress(formatAddress(address)).wait(io.waitScope);
             receiver = local->listen();
         } catch (const kj::Exception &failure) {
             reportStart(0, failure.getDescription().cStr());
@@ -318,7 +314,7 @@
     std::unique_lock lock(private_->mutex);
     private_->startedCondition.wait(lock, [this] { return private_->started; });
     if (!private_->startFailure.empty())
-        return makeError(ErrorCode::Unavailable, "cannot listen on " + addressText(address) + ": "
+        return makeError(ErrorCode::Unavailable, "cannot listen on " + formatAddress(address) + ": "
                                                      + private_->startFailure);
     return {};
 }
--- a/tools/database_standin/database_server.cpp
+++ b/tools/database_standin/database_server.cpp
@@ -1,5 +1,6 @@
 #include "database_standin/database_server.h"
 
+#include "base/address.h"
 #include "base/json.h"
 #include "base/log.h"
 #include "database_standin/endpoint_wire.h"
@@ -395,7 +396,7 @@
         BOOST_LEAF_AUTO(term, requireUnsigned(call.body, "term"));
         BOOST_LEAF_AUTO(primary, requireString(call.body, "primary"));
         BOOST_LEAF_AUTO(text, requireString(call.body, "primary_address"));
-        BOOST_LEAF_AUTO(address, decodeAddress(text));
+        BOOST_LEAF_AUTO(address, parsePeerAddress(text));
         if (primary.empty())
             return makeError(ErrorCode::InvalidArgument, "field \"primary\" must not be empty");
         const auto refusal = log.follow(Term(term), EndpointId(primary));
--- a/tools/database_standin/endpoint_wire.cpp
+++ b/tools/database_standin/endpoint_wire.cpp
@@ -160,21 +160,6 @@
     return std::optional<Milliseconds>{Milliseconds(*number)};
 }
 
-Result<SocketAddress> decodeAddress(std::string_view text)
-{
-    const auto colon = std::min(text.rfind(':'), text.size());
-    const std::string_view host = text.substr(0, colon);
-    const std::string_view portText = text.substr(std::min(colon + 1, text.size()));
-    std::uint16_t port = 0;
-    const auto [end, failure] =
-        std::from_chars(portText.data(), portText.data() + portText.size(), port);
-    if (boost::urls::parse_ipv4_address(view(host)).has_error() || failure != std::errc()
-        || end != portText.data() + portText.size() || port == 0)
-        return invalid("\"" + std::string(text)
-                       + "\" is not a numeric address of the form host:port");
-    return SocketAddress{std::string(host), port};
-}
-
 std::string_view refusalCodeName(RefusalCode code)
 {
     return refusalTable.at(static_cast<std::size_t>(code)).name;
--- a/tools/database_standin/endpoint_wire.h
+++ b/tools/database_standin/endpoint_wire.h
@@ -20,8 +20,6 @@
 /// Reads a duration in milliseconds of at most one hour.
 Result<std::optional<Milliseconds>> optionalDuration(const boost::json::object &object,
                                                      const std::string &field);
-/// Reads "host:port" with a numeric IPv4 host.
-Result<SocketAddress> decodeAddress(std::string_view text);
 
 std::string_view refusalCodeName(RefusalCode code);
 unsigned refusalStatus(RefusalCode code);
--- a/tools/loadgen/runner.cpp
+++ b/tools/loadgen/runner.cpp
@@ -1,5 +1,6 @@
 #include "loadgen/runner.h"
 
+#include "base/address.h"
 #include "loadgen/caller.h"
 #include "net/precise_timer.h"
 
@@ -234,7 +235,7 @@
                            .start = running.start,
                            .end = now,
                            .session = session.number,
-                           .daemon = daemon.host + ":" + std::to_string(daemon.port),
+                           .daemon = formatAddress(daemon),
                            .service = item.service,
                            .kind = "read",
                            .key = item.key,
--- a/tools/platform_standin/platform_server.cpp
+++ b/tools/platform_standin/platform_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "net/http.h"
+#include "net/http_error.h"
 #include "net/request_target.h"
 #include "platform_standin/call_limiter.h"
 #include "platform_standin/object_store.h"
@@ -55,11 +56,6 @@
     return value->as_object();
 }
 
-HttpResponse errorResponse(const Error &error)
-{
-    return {httpStatusOf(error.code), errorBody(error)};
-}
-
 } // namespace
 
 struct PlatformServer::Private
