--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -1,6 +1,9 @@
 #include "net/http.h"
 
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -107,3 +110,27 @@
     CHECK_TRUE(failure.requestSent);
     CHECK_EQUAL(0, server.runningRequests());
 }
+
+// Guards against slow callers that hold connections with a request that never ends.
+TEST(Http, requestThatDoesNotEndIsCutOff)
+{
+    HttpServer server(loop, {.headerTimeout = Milliseconds(50)},
+                      [](const HttpRequest &request, const HttpServer::Responder &respond) {
+                          respond(echo(request));
+                      });
+    CHECK_TRUE(!!server.listen(anyPort));
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, connect(caller, reinterpret_cast<sockaddr *>(&address), sizeof address));
+    const std::string beginning = "POST / HTTP/1.1\r\nContent-Le";
+    LONGS_EQUAL(beginning.size(), send(caller, beginning.data(), beginning.size(), 0));
+    loop.startTimer(Milliseconds(25), [&] { LONGS_EQUAL(1, server.openConnections()); });
+    loop.startTimer(Milliseconds(2000), [&] { loop.stop(); });
+    server.setCloseHandler([&](std::uint64_t) { loop.stop(); });
+    loop.run();
+    LONGS_EQUAL(0, server.openConnections());
+    close(caller);
+}
