Close caller connections after their response during shutdown

Cause: during a shutdown idle callers kept their connections until the process ended, and a request sent at that moment got no answer. Each response now closes its connection while the daemon drains, so callers move on before. Ruled out: closing idle connections at once, which cuts a request on its way.

--- a/src/daemon/traffic_plane.cpp
+++ b/src/daemon/traffic_plane.cpp
@@ -158,6 +158,7 @@
 void TrafficPlane::drain()
 {
     private_->callers.setDraining(true);
+    private_->server.closeAfterResponses();
 }
 
 bool TrafficPlane::isIdle() const
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -64,6 +64,8 @@
     /// Binds and listens; port 0 picks a free one.
     Result<void> listen(const SocketAddress &address);
     std::uint16_t port() const;
+    /// Closes each connection after its next response, so that callers move to another server.
+    void closeAfterResponses();
     /// Accepts no further connections and closes idle ones; running requests finish.
     void drain();
     std::size_t openConnections() const;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -324,6 +324,11 @@
     return private_->port;
 }
 
+void HttpServer::closeAfterResponses()
+{
+    private_->draining = true;
+}
+
 void HttpServer::drain()
 {
     private_->draining = true;
--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -134,3 +134,20 @@
     LONGS_EQUAL(0, server.openConnections());
     close(caller);
 }
+
+// Guards against callers that keep their connection to a server which is about to stop.
+TEST(Http, connectionClosesAfterItsResponseDuringShutdown)
+{
+    HttpServer server(loop, {},
+                      [](const HttpRequest &request, const HttpServer::Responder &respond) {
+                          respond(echo(request));
+                      });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    exchange(connection, {}, Milliseconds(5000));
+    CHECK_TRUE(connection.isOpen());
+    server.closeAfterResponses();
+    const auto outcome = exchange(connection, {}, Milliseconds(5000));
+    CHECK_EQUAL(200, std::get<HttpResponse>(outcome).status);
+    CHECK_FALSE(connection.isOpen());
+}
