Remove functions that nothing calls

Cause: review of the whole change found newerToken, TrafficPlane::openCallers and HttpServer::drain without a caller; closeAfterResponses took over the last one's purpose. Left as it is: ReadRouter::forget, which should be called when an endpoint is deleted, so that its estimate goes too.

--- a/src/daemon/traffic_plane.cpp
+++ b/src/daemon/traffic_plane.cpp
@@ -177,9 +177,4 @@
     return private_->executor.serviceOf(endpoint);
 }
 
-std::size_t TrafficPlane::openCallers() const
-{
-    return private_->server.openConnections();
-}
-
 } // namespace pistachiowood
--- a/src/daemon/traffic_plane.h
+++ b/src/daemon/traffic_plane.h
@@ -55,7 +55,6 @@
 
     std::map<EndpointId, PoolStats> poolStats() const;
     ServiceName serviceOf(const EndpointId &endpoint) const;
-    std::size_t openCallers() const;
 
 private:
     struct Private;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -66,8 +66,6 @@
     std::uint16_t port() const;
     /// Closes each connection after its next response, so that callers move to another server.
     void closeAfterResponses();
-    /// Accepts no further connections and closes idle ones; running requests finish.
-    void drain();
     std::size_t openConnections() const;
     std::size_t runningRequests() const;
     void setCloseHandler(CloseHandler handler);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -146,12 +146,6 @@
             handleInput();
     }
 
-    void closeIfIdle()
-    {
-        if (!handling_ && output_.empty())
-            close();
-    }
-
     void close()
     {
         if (closed_)
@@ -329,15 +323,6 @@
     private_->draining = true;
 }
 
-void HttpServer::drain()
-{
-    private_->draining = true;
-    private_->stopListening();
-    const auto connections = private_->connections;
-    for (const auto &[id, connection] : connections)
-        connection->closeIfIdle();
-}
-
 std::size_t HttpServer::openConnections() const
 {
     return private_->connections.size();
--- a/src/sessions/session_token_codec.cpp
+++ b/src/sessions/session_token_codec.cpp
@@ -7,7 +7,6 @@
 #include <openssl/hmac.h>
 
 #include <array>
-#include <tuple>
 
 namespace pistachiowood {
 
@@ -132,10 +131,4 @@
            || (previousKey_ && equalInConstantTime(sign(*previousKey_, signedPart), signature));
 }
 
-SessionToken newerToken(const SessionToken &first, const SessionToken &second)
-{
-    return std::tie(first.term, first.position) < std::tie(second.term, second.position) ? second
-                                                                                         : first;
-}
-
 } // namespace pistachiowood
--- a/src/sessions/session_token_codec.h
+++ b/src/sessions/session_token_codec.h
@@ -33,9 +33,6 @@
     std::optional<std::string> previousKey_;
 };
 
-/// Returns the newer of two tokens of one service.
-SessionToken newerToken(const SessionToken &first, const SessionToken &second);
-
 } // namespace pistachiowood
 
 #endif
