--- a/include/pistachiowood/clock.h
+++ b/include/pistachiowood/clock.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_CLOCK_H
 
 #include <chrono>
+#include <ctime>
 
 namespace pistachiowood {
 
@@ -23,6 +24,20 @@
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// Clock that also counts the time during which the machine is suspended. Leases and permissions
+/// are measured with it, because they run out elsewhere while this machine sleeps.
+class BootClock final : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::seconds(time.tv_sec)
+                         + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 /// Clock that only moves when told to; for tests.
 class ManualClock final : public Clock
 {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -77,6 +77,16 @@
     return names.at(static_cast<std::size_t>(severity));
 }
 
+Severity parseSeverity(std::string_view name)
+{
+    for (const Severity severity : {Severity::Debug, Severity::Info, Severity::Warning,
+                                    Severity::Error, Severity::Fatal}) {
+        if (severityName(severity) == name)
+            return severity;
+    }
+    return Severity::Info;
+}
+
 void initializeLogging(Severity minimum)
 {
     el::Configurations configuration;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,6 +36,8 @@
 
 /// Starts logging to standard error; events below the severity are dropped.
 void initializeLogging(Severity minimum);
+/// Severity of a name that severityName() returns; Info for other names.
+Severity parseSeverity(std::string_view name);
 /// Drops every event; for tests.
 void disableLogging();
 
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -17,6 +17,7 @@
     EVENT(DaemonDraining, 1001, Info, "daemon is draining; new work is refused")                           \
     EVENT(DaemonStopped, 1002, Info, "daemon stopped")                                                     \
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                            \
+    EVENT(SettingsReloaded, 1004, Info, "settings file read again")                                        \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                           \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
--- /dev/null
+++ b/src/daemon/session_daemon.cpp
@@ -0,0 +1,173 @@
+#include "daemon/session_daemon.h"
+
+#include "base/log.h"
+#include "rpc/peer_rpc.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace pistachiowood {
+
+namespace {
+
+// The load balancer asks once a second and drops a daemon after two misses.
+constexpr Milliseconds balancerDelay{2200};
+constexpr int balancerShareOfGrace = 3; // at most a third of the grace
+// Kept free at the end of the grace, so that the process ends by itself.
+constexpr Milliseconds exitReserve{500};
+constexpr Milliseconds drainPollPeriod{50};
+constexpr Milliseconds readinessPeriod{50};
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+} // namespace
+
+struct SessionDaemon::Private final : public TrafficPort
+{
+    Private(SessionDaemonSettings daemonSettings, PlatformPorts platformPorts)
+        : settings(std::move(daemonSettings))
+        , ports(std::move(platformPorts))
+        , random(drawSeed())
+        , store(ports.makeStore(control))
+        , promotions(ports.makePromotions(control))
+        , readiness(ports.makeReadiness(control))
+        , dialer(ports.makeDialer(traffic))
+        , gateway(traffic, clock, *dialer)
+        , callers(ports.makeCallers(traffic, gateway))
+        , peers(control, [this](const PeerReport &report) { return fleet->handlePeerReport(report); })
+    {
+        fleet = std::make_unique<FleetControl>(control, clock, random, settings.fleet, *store,
+                                               *promotions, peers, *this);
+    }
+
+    void setView(std::shared_ptr<const DeploymentView> view, std::function<void()> obeyed) override
+    {
+        traffic.post([this, view = std::move(view), obeyed = std::move(obeyed)] {
+            gateway.setView(view);
+            control.post(obeyed);
+        });
+    }
+
+    void permitPrimaries(TimePoint until) override
+    {
+        traffic.post([this, until] { gateway.permitPrimaries(until); });
+    }
+
+    void queryStatus(const ServiceName &service, const EndpointId &endpoint,
+                     SessionStatement statement, Milliseconds timeout,
+                     Gateway::StatusCallback callback) override
+    {
+        traffic.post([this, service, endpoint, statement = std::move(statement), timeout,
+                      callback = std::move(callback)] {
+            gateway.queryStatus(service, endpoint, statement, timeout, [this, callback](auto status) {
+                control.post([callback, status] { callback(status); });
+            });
+        });
+    }
+
+    void updateReadiness()
+    {
+        readiness->setReady(!stopping && fleet->ready());
+        control.startTimer(readinessPeriod, [this] { updateReadiness(); });
+    }
+
+    void startShutdown()
+    {
+        if (std::exchange(stopping, true))
+            return;
+        logEvent(Event::DaemonDraining);
+        readiness->setReady(false);
+        fleet->leave();
+        const Milliseconds drainAt = std::min(balancerDelay, settings.grace / balancerShareOfGrace);
+        control.startTimer(drainAt, [this] {
+            traffic.post([this] {
+                gateway.startDrain();
+                pollDrain();
+            });
+        });
+        control.startTimer(settings.grace / 2,
+                           [this] { traffic.post([this] { gateway.finishTransactions(); }); });
+        control.startTimer(std::max(settings.grace - exitReserve, settings.grace / 2), [this] {
+            traffic.stop();
+            control.stop();
+        });
+    }
+
+    // Runs in the traffic thread.
+    void pollDrain()
+    {
+        if (callers->openConnections() == 0) {
+            control.stop();
+            traffic.stop();
+            return;
+        }
+        traffic.startTimer(drainPollPeriod, [this] { pollDrain(); });
+    }
+
+    SessionDaemonSettings settings;
+    PlatformPorts ports;
+    BootClock clock;
+    SeededRandom random;
+    EventLoop control;
+    EventLoop traffic;
+    std::unique_ptr<PlatformStore> store;
+    std::unique_ptr<PromotionService> promotions;
+    std::unique_ptr<ReadinessListener> readiness;
+    std::unique_ptr<EndpointDialer> dialer;
+    Gateway gateway;
+    std::unique_ptr<CallerListener> callers;
+    PeerRpc peers;
+    std::unique_ptr<FleetControl> fleet;
+    bool stopping = false;
+};
+
+SessionDaemon::SessionDaemon(SessionDaemonSettings settings, PlatformPorts ports)
+    : private_(std::make_unique<Private>(std::move(settings), std::move(ports)))
+{
+}
+
+SessionDaemon::~SessionDaemon() = default;
+
+Result<void> SessionDaemon::run()
+{
+    Private &daemon = *private_;
+    BOOST_LEAF_CHECK(daemon.readiness->listen());
+    BOOST_LEAF_CHECK(daemon.callers->listen());
+    BOOST_LEAF_CHECK(daemon.peers.listen(daemon.settings.fleet.peerAddress));
+    daemon.gateway.start([&daemon](std::vector<PrimaryEvidence> evidence) {
+        daemon.control.post([&daemon, evidence = std::move(evidence)]() mutable {
+            daemon.fleet->handleEvidence(std::move(evidence));
+        });
+    });
+    daemon.fleet->start();
+    daemon.updateReadiness();
+    logEvent(Event::DaemonStarted, {{"vm", daemon.settings.fleet.vm.value()}});
+    std::thread trafficThread([&daemon] { daemon.traffic.run(); });
+    daemon.control.run();
+    daemon.traffic.stop();
+    trafficThread.join();
+    logEvent(Event::DaemonStopped);
+    return {};
+}
+
+void SessionDaemon::shutdown()
+{
+    private_->control.post([this] { private_->startShutdown(); });
+}
+
+void SessionDaemon::post(std::function<void()> task)
+{
+    private_->control.post(std::move(task));
+}
+
+void SessionDaemon::setGrace(Milliseconds grace)
+{
+    private_->settings.grace = grace;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/daemon/session_daemon.h
@@ -0,0 +1,73 @@
+#ifndef PISTACHIOWOOD_DAEMON_SESSION_DAEMON_H
+#define PISTACHIOWOOD_DAEMON_SESSION_DAEMON_H
+
+#include "gateway/gateway.h"
+#include "takeover/fleet_control.h"
+#include "takeover/platform_store.h"
+
+#include <pistachiowood/error.h>
+
+#include <functional>
+#include <memory>
+
+namespace pistachiowood {
+
+/// Accepts callers in their protocol and passes their sessions to a gateway.
+class CallerListener
+{
+public:
+    virtual ~CallerListener() = default;
+    virtual Result<void> listen() = 0;
+    virtual std::size_t openConnections() const = 0;
+};
+
+/// Answers the load balancer's question whether this daemon takes new connections.
+class ReadinessListener
+{
+public:
+    virtual ~ReadinessListener() = default;
+    virtual Result<void> listen() = 0;
+    virtual void setReady(bool ready) = 0;
+};
+
+/// What a platform provides; each function is called once, before the threads start.
+struct PlatformPorts
+{
+    std::function<std::unique_ptr<PlatformStore>(EventLoop &control)> makeStore;
+    std::function<std::unique_ptr<PromotionService>(EventLoop &control)> makePromotions;
+    std::function<std::unique_ptr<ReadinessListener>(EventLoop &control)> makeReadiness;
+    std::function<std::unique_ptr<EndpointDialer>(EventLoop &traffic)> makeDialer;
+    std::function<std::unique_ptr<CallerListener>(EventLoop &traffic, Gateway &gateway)>
+        makeCallers;
+};
+
+struct SessionDaemonSettings
+{
+    FleetSettings fleet;
+    Milliseconds grace{6000}; ///< from shutdown() until the process is killed
+};
+
+/// Daemon for callers with long-lived sessions: one control thread, one traffic thread and the
+/// thread of the RPC between daemons.
+class SessionDaemon
+{
+public:
+    SessionDaemon(SessionDaemonSettings settings, PlatformPorts ports);
+    ~SessionDaemon();
+
+    /// Serves until shutdown() has taken effect.
+    Result<void> run();
+    /// Leaves the load balancer, finishes running work and stops; may be called from any thread.
+    void shutdown();
+    /// Runs a task in the control thread; may be called from any thread.
+    void post(std::function<void()> task);
+    void setGrace(Milliseconds grace);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> private_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,711 @@
+#include "gateway/caller_session.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+// A statement waits for an endpoint for this share of its time-out; the rest is for running it.
+constexpr int holdShareNumerator = 3;
+constexpr int holdShareDenominator = 4;
+constexpr Milliseconds busyRetryDelay{25}; // about the work of one statement
+constexpr Milliseconds confirmLimit{1000}; // renewing the permission takes two exchanges at most
+constexpr std::size_t maxPipelined = 64; // statements that a caller may send ahead
+constexpr std::size_t maxSessionEntries = 256; // variables or prepared statements of one session
+
+bool promisesNotRun(ReplyCode code)
+{
+    switch (code) {
+    case ReplyCode::Busy:
+    case ReplyCode::Lagging:
+    case ReplyCode::ReadOnly:
+    case ReplyCode::NoStatement:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+CallerSession::CallerSession(GatewayServices &services, CallerChannel &channel,
+                             DatabaseRoute route)
+    : services_(services)
+    , channel_(channel)
+    , route_(std::move(route))
+{
+}
+
+CallerSession::~CallerSession()
+{
+    if (work_) {
+        stopTimers();
+        if (work_->ticket != 0)
+            work_->pool->cancel(work_->ticket);
+    }
+    if (link_)
+        link_->pool().release(*link_);
+}
+
+SessionPhase CallerSession::phase() const
+{
+    if (failed_)
+        return SessionPhase::Failed;
+    return transaction_ ? SessionPhase::InTransaction : SessionPhase::Idle;
+}
+
+void CallerSession::handleStatement(SessionStatement statement)
+{
+    if (work_) {
+        if (input_.size() >= maxPipelined)
+            channel_.close();
+        else
+            input_.push_back(std::move(statement));
+        return;
+    }
+    startStatement(std::move(statement));
+}
+
+void CallerSession::startStatement(SessionStatement statement)
+{
+    if (transaction_)
+        transaction_->lastActivity = services_.clock().now();
+    switch (statement.verb) {
+    case Verb::Read:
+    case Verb::Write:
+    case Verb::Execute:
+    case Verb::Commit:
+        startEndpointWork(std::move(statement));
+        break;
+    default:
+        startLocal(statement);
+        break;
+    }
+}
+
+void CallerSession::startLocal(const SessionStatement &statement)
+{
+    if (statement.verb == Verb::Rollback) {
+        if (!transaction_ && !failed_) {
+            replyLocally(ReplyCode::Malformed, "no transaction is open");
+            return;
+        }
+        endTransaction();
+        replyLocally(std::nullopt, {});
+        return;
+    }
+    if (failed_) {
+        replyLocally(ReplyCode::Malformed, "the transaction has failed; end it first");
+        return;
+    }
+    switch (statement.verb) {
+    case Verb::Begin:
+    case Verb::BeginReadOnly:
+        beginTransaction(statement.verb == Verb::BeginReadOnly);
+        return;
+    case Verb::Set:
+        if (variables_.size() >= maxSessionEntries && variables_.count(statement.name) == 0) {
+            replyLocally(ReplyCode::TooLarge, "too many session variables");
+            return;
+        }
+        variables_[statement.name] = statement.arguments;
+        replyLocally(std::nullopt, {});
+        return;
+    case Verb::Prepare:
+        if (prepared_.size() >= maxSessionEntries && prepared_.count(statement.name) == 0) {
+            replyLocally(ReplyCode::TooLarge, "too many prepared statements");
+            return;
+        }
+        prepared_[statement.name] = {statement.arguments, statement.writes};
+        replyLocally(std::nullopt, {});
+        return;
+    case Verb::Deallocate:
+        prepared_.erase(statement.name);
+        replyLocally(std::nullopt, {});
+        return;
+    default:
+        if (transaction_)
+            failed_ = true;
+        releaseLink();
+        replyLocally(ReplyCode::Malformed, "the statement is not known");
+        return;
+    }
+}
+
+bool CallerSession::refreshRoute()
+{
+    const auto found = services_.view().routes.find(route_.database);
+    if (found == services_.view().routes.end())
+        return false;
+    route_ = found->second;
+    return true;
+}
+
+void CallerSession::beginTransaction(bool readOnly)
+{
+    if (transaction_) {
+        failed_ = true;
+        releaseLink();
+        replyLocally(ReplyCode::Malformed, "a transaction is already open");
+        return;
+    }
+    if (!refreshRoute()) {
+        replyLocally(ReplyCode::NoDatabase, "the database no longer exists");
+        return;
+    }
+    const TimePoint now = services_.clock().now();
+    transaction_ = Transaction{.readOnly = readOnly, .startedAt = now, .lastActivity = now};
+    replyLocally(std::nullopt, {});
+}
+
+void CallerSession::endTransaction()
+{
+    transaction_.reset();
+    failed_ = false;
+    releaseLink();
+}
+
+void CallerSession::startEndpointWork(SessionStatement statement)
+{
+    if (statement.verb == Verb::Commit && (failed_ || !transaction_)) {
+        const bool wasOpen = failed_;
+        endTransaction();
+        if (wasOpen)
+            replyLocally(ReplyCode::Aborted, "the transaction was rolled back");
+        else
+            replyLocally(ReplyCode::Malformed, "no transaction is open");
+        return;
+    }
+    if (failed_) {
+        replyLocally(ReplyCode::Malformed, "the transaction has failed; end it first");
+        return;
+    }
+    Work work;
+    if (statement.verb == Verb::Execute) {
+        const auto found = prepared_.find(statement.name);
+        if (found == prepared_.end()) {
+            failed_ = transaction_.has_value();
+            releaseLink();
+            replyLocally(ReplyCode::NoStatement, "no prepared statement has this name");
+            return;
+        }
+        work.prepared = found->second;
+    }
+    if (!transaction_ && !refreshRoute()) {
+        replyLocally(ReplyCode::NoDatabase, "the database no longer exists");
+        return;
+    }
+    work.writes = statement.verb == Verb::Write
+        || (statement.verb == Verb::Execute && work.prepared.writes);
+    work.statement = std::move(statement);
+    work.startedAt = services_.clock().now();
+    work.deadline = work.startedAt + route_.statementTimeout;
+    work.holdUntil
+        = work.startedAt + route_.statementTimeout * holdShareNumerator / holdShareDenominator;
+    work.timer = services_.loop().startTimer(route_.statementTimeout, [this] { handleExpired(); });
+    work_ = std::move(work);
+    if (transaction_ && transaction_->broken) {
+        giveUp(ReplyCode::Aborted, "the connection to the endpoint was lost");
+        return;
+    }
+    if (transaction_ && transaction_->readOnly && work_->writes) {
+        giveUp(ReplyCode::ReadOnly, "the transaction only reads");
+        return;
+    }
+    dispatch();
+}
+
+bool CallerSession::needsPrimary() const
+{
+    if (route_.consistency == Consistency::Primary || work_->writes)
+        return true;
+    return transaction_ && !transaction_->readOnly;
+}
+
+void CallerSession::dispatch()
+{
+    if (link_) { // an open transaction stays on its connection
+        startPrelude();
+        return;
+    }
+    const bool chosen = needsPrimary() ? choosePrimary() : chooseReplica();
+    if (chosen)
+        acquireLink();
+    else
+        hold();
+}
+
+bool CallerSession::choosePrimary()
+{
+    const ServiceView *service = services_.findService(route_.service);
+    if (!service || !service->primary || !services_.primariesPermitted())
+        return false;
+    if (work_->excluded.count(*service->primary) > 0)
+        return false;
+    work_->pool = services_.findPool(route_.service, *service->primary);
+    work_->after.reset();
+    work_->primaryEpoch = service->primaryEpoch;
+    return work_->pool != nullptr;
+}
+
+bool CallerSession::chooseReplica()
+{
+    const ServiceView *service = services_.findService(route_.service);
+    if (!service)
+        return false;
+    const TimePoint now = services_.clock().now();
+    const TimePoint startedAt = transaction_ ? transaction_->startedAt : work_->startedAt;
+    const PositionHistory &positions = services_.positions(route_.service);
+    std::optional<TermPosition> after;
+    if (positions.primaryEpoch() == service->primaryEpoch)
+        after = positions.positionCovering(startedAt - route_.maxStaleness);
+    Milliseconds age = route_.maxStaleness;
+    const bool ownCommitCounts = ownCommit_ && ownCommit_->primaryEpoch == service->primaryEpoch;
+    if (after && ownCommitCounts && route_.consistency == Consistency::ReadYourWrites
+        && ownCommit_->position > *after) {
+        after = ownCommit_->position;
+        age = std::chrono::duration_cast<Milliseconds>(now - ownCommit_->at);
+    }
+    const bool permitted = services_.primariesPermitted();
+    std::vector<ReadCandidate> candidates;
+    for (const EndpointView &endpoint : service->endpoints) {
+        LinkPool *pool = services_.findPool(route_.service, endpoint.id);
+        const LinkPoolHealth health = pool ? pool->health() : LinkPoolHealth{};
+        ReadCandidate candidate;
+        candidate.primary = service->primary == endpoint.id;
+        candidate.usable = pool && pool->usable() && !endpoint.draining
+            && work_->excluded.count(endpoint.id) == 0 && (!candidate.primary || permitted);
+        candidate.expectedFresh = candidate.primary
+            || (after && services_.replicaLag(endpoint.id).expectedFresh(*after, age, now));
+        candidate.distance = endpoint.distance;
+        candidate.latency = health.latency;
+        candidate.inUse = health.inUse;
+        candidate.waiting = health.waiting;
+        candidate.limit = health.limit;
+        candidates.push_back(candidate);
+    }
+    auto chosen = chooseReadEndpoint(candidates);
+    if (!chosen && after) {
+        // No endpoint is expected to be fresh enough; a replica may have caught up meanwhile.
+        for (ReadCandidate &candidate : candidates)
+            candidate.expectedFresh = true;
+        chosen = chooseReadEndpoint(candidates);
+    }
+    if (!chosen)
+        return false;
+    const EndpointView &endpoint = service->endpoints.at(*chosen);
+    work_->pool = services_.findPool(route_.service, endpoint.id);
+    work_->after = candidates.at(*chosen).primary ? std::nullopt : after;
+    work_->primaryEpoch = service->primaryEpoch;
+    return true;
+}
+
+void CallerSession::acquireLink()
+{
+    ++work_->attempts;
+    work_->stage = Stage::WaitingForLink;
+    work_->ticket
+        = work_->pool->acquire(*this, variables_, route_.priority, work_->holdUntil);
+}
+
+void CallerSession::hold()
+{
+    const TimePoint now = services_.clock().now();
+    work_->stage = Stage::Holding;
+    if (now >= work_->holdUntil) {
+        giveUp(ReplyCode::Busy, "no endpoint can run the statement now");
+        return;
+    }
+    retryLater(busyRetryDelay);
+}
+
+void CallerSession::retryLater(Milliseconds delay)
+{
+    work_->stage = Stage::Holding;
+    services_.loop().cancelTimer(work_->retryTimer);
+    work_->retryTimer = services_.loop().startTimer(delay, [this] {
+        if (!work_ || work_->stage != Stage::Holding)
+            return;
+        work_->excluded.clear();
+        dispatch();
+    });
+}
+
+void CallerSession::handleViewChanged()
+{
+    if (!work_)
+        return;
+    if (work_->stage == Stage::Confirming)
+        confirmWrite();
+    else if (work_->stage == Stage::Holding)
+        dispatch();
+}
+
+void CallerSession::handleLinkGranted(PooledLink &link)
+{
+    work_->ticket = 0;
+    link_ = &link;
+    // The primary or the permission may have changed while the statement waited.
+    const ServiceView *service = services_.findService(route_.service);
+    const bool viaPrimary = !work_->after;
+    if (!service || service->primaryEpoch != work_->primaryEpoch
+        || (viaPrimary && !services_.primariesPermitted())) {
+        releaseLink();
+        dispatch();
+        return;
+    }
+    startPrelude();
+}
+
+void CallerSession::handleLinkRefused(LinkFailure failure)
+{
+    work_->ticket = 0;
+    work_->excluded.insert(work_->pool->endpoint().id);
+    const TimePoint now = services_.clock().now();
+    if (now >= work_->holdUntil) {
+        giveUp(ReplyCode::Busy,
+               failure == LinkFailure::Refused ? "the endpoint has no connection free"
+                                               : "the endpoint is not reachable");
+        return;
+    }
+    dispatch();
+}
+
+void CallerSession::startPrelude()
+{
+    work_->stage = Stage::Prelude;
+    work_->preludeFailure.reset();
+    const bool execute = work_->statement.verb == Verb::Execute;
+    const bool opened = transaction_ && transaction_->opened;
+    work_->prelude = planPrelude(link_->sessionState, variables_,
+                                 execute ? &work_->prepared : nullptr, opened);
+    auto &statements = work_->prelude.statements;
+    if (transaction_ && !opened) {
+        const Verb verb = transaction_->readOnly ? Verb::BeginReadOnly : Verb::Begin;
+        statements.push_back({.verb = verb, .after = work_->after});
+    }
+    work_->preludePending = statements.size();
+    if (statements.empty()) {
+        sendMain();
+        return;
+    }
+    for (const SessionStatement &statement : statements)
+        link_->send(statement);
+}
+
+void CallerSession::finishPrelude()
+{
+    if (work_->preludeFailure) {
+        const ReplyCode code = *work_->preludeFailure;
+        // The state of the connection is uncertain after a partly failed prelude.
+        const bool onlyBeginFailed = work_->prelude.statements.size() == 1 && transaction_
+            && !transaction_->opened;
+        if (onlyBeginFailed)
+            releaseLink();
+        else
+            discardLink();
+        if (transaction_ && transaction_->opened)
+            giveUp(ReplyCode::Aborted, "the endpoint refused the session state");
+        else
+            handleNotRun(code);
+        return;
+    }
+    link_->sessionState = work_->prelude.result;
+    if (transaction_ && !transaction_->opened) {
+        transaction_->opened = true;
+        transaction_->primaryEpoch = work_->primaryEpoch;
+    }
+    sendMain();
+}
+
+void CallerSession::sendMain()
+{
+    SessionStatement statement = work_->statement;
+    if (statement.verb == Verb::Execute)
+        statement.name = work_->prelude.preparedName;
+    if (!transaction_)
+        statement.after = work_->after;
+    work_->stage = Stage::Sent;
+    if (transaction_ && work_->writes)
+        transaction_->wrote = true;
+    link_->send(statement);
+}
+
+void CallerSession::handleReply(StatementReply reply)
+{
+    if (!work_ || (work_->stage != Stage::Prelude && work_->stage != Stage::Sent)) {
+        discardLink();
+        return;
+    }
+    if (work_->stage == Stage::Prelude) {
+        if (reply.failure && !work_->preludeFailure)
+            work_->preludeFailure = reply.failure;
+        if (--work_->preludePending == 0)
+            finishPrelude();
+        return;
+    }
+    handleMainReply(std::move(reply));
+}
+
+bool CallerSession::sentMayHaveWritten() const
+{
+    if (work_->stage != Stage::Sent && work_->stage != Stage::Confirming)
+        return false;
+    if (transaction_)
+        return work_->statement.verb == Verb::Commit && transaction_->wrote;
+    return work_->writes;
+}
+
+void CallerSession::handleMainReply(StatementReply reply)
+{
+    if (reply.succeeded()) {
+        handleSuccess(std::move(reply));
+        return;
+    }
+    const ReplyCode code = *reply.failure;
+    if (transaction_) {
+        const bool committing = work_->statement.verb == Verb::Commit;
+        if (code == ReplyCode::NoStatement)
+            link_->sessionState = {};
+        // The end of a transaction whose commit may have run is not known.
+        if (committing && transaction_->wrote && !promisesNotRun(code)) {
+            giveUp(ReplyCode::Unknown, "the endpoint did not confirm the commit");
+            return;
+        }
+        giveUp(promisesNotRun(code) && code != ReplyCode::NoStatement ? code : ReplyCode::Aborted,
+               reply.message);
+        return;
+    }
+    if (code == ReplyCode::NoStatement)
+        link_->sessionState.prepared.clear();
+    if (promisesNotRun(code)) {
+        releaseLink();
+        handleNotRun(code);
+        return;
+    }
+    if (!work_->writes && services_.clock().now() < work_->holdUntil) {
+        releaseLink();
+        handleNotRun(code); // reads may run again elsewhere
+        return;
+    }
+    releaseLink();
+    reply.phase = SessionPhase::Idle;
+    finish(std::move(reply));
+}
+
+void CallerSession::handleNotRun(ReplyCode code)
+{
+    const TimePoint now = services_.clock().now();
+    const EndpointId endpoint = work_->pool->endpoint().id;
+    if (code == ReplyCode::Lagging)
+        services_.replicaLag(endpoint).recordLagging(now);
+    if (now >= work_->holdUntil) {
+        giveUp(promisesNotRun(code) && code != ReplyCode::NoStatement ? code : ReplyCode::Busy,
+               "no endpoint ran the statement in time");
+        return;
+    }
+    if (code == ReplyCode::NoStatement) {
+        dispatch();
+        return;
+    }
+    work_->excluded.insert(endpoint);
+    if (needsPrimary())
+        retryLater(busyRetryDelay);
+    else
+        dispatch();
+}
+
+void CallerSession::handleSuccess(StatementReply reply)
+{
+    const bool committing = work_->statement.verb == Verb::Commit;
+    const bool wrote = transaction_ ? (committing && transaction_->wrote) : work_->writes;
+    if (wrote) {
+        if (reply.position) {
+            ownCommit_ = OwnCommit{transaction_ ? transaction_->primaryEpoch : work_->primaryEpoch,
+                                   *reply.position, services_.clock().now()};
+        }
+        if (!transaction_)
+            releaseLink();
+        work_->unconfirmed = std::move(reply);
+        work_->stage = Stage::Confirming;
+        work_->deadline = std::max(work_->deadline, services_.clock().now() + confirmLimit);
+        confirmWrite();
+        return;
+    }
+    if (!transaction_ || committing)
+        releaseLink();
+    finish(std::move(reply));
+}
+
+// A commit counts only if no replacement of the primary can have taken effect before it.
+void CallerSession::confirmWrite()
+{
+    const ServiceView *service = services_.findService(route_.service);
+    const std::uint64_t epoch
+        = transaction_ ? transaction_->primaryEpoch : work_->primaryEpoch;
+    if (!service || service->primaryEpoch != epoch) {
+        giveUp(ReplyCode::Unknown, "the primary was replaced while it committed");
+        return;
+    }
+    if (!services_.primariesPermitted())
+        return; // continued by handleViewChanged, ended by handleExpired
+    if (transaction_)
+        releaseLink();
+    StatementReply reply = std::move(*work_->unconfirmed);
+    work_->unconfirmed.reset();
+    finish(std::move(reply));
+}
+
+void CallerSession::handleLinkLost()
+{
+    link_ = nullptr;
+    if (!work_) {
+        if (transaction_)
+            transaction_->broken = true;
+        return;
+    }
+    if (work_->stage == Stage::Confirming)
+        return; // the reply has arrived; only the permission is missing
+    if (sentMayHaveWritten()) {
+        giveUp(ReplyCode::Unknown, "the endpoint's answer was lost");
+        return;
+    }
+    if (transaction_ && transaction_->opened) {
+        giveUp(ReplyCode::Aborted, "the connection to the endpoint was lost");
+        return;
+    }
+    handleNotRun(ReplyCode::Aborted);
+}
+
+void CallerSession::handleExpired()
+{
+    if (!work_)
+        return;
+    const bool sent = work_->stage == Stage::Sent;
+    if (work_->stage == Stage::Confirming) {
+        const TimePoint now = services_.clock().now();
+        if (now < work_->deadline) {
+            work_->timer = services_.loop().startTimer(
+                std::chrono::ceil<Milliseconds>(work_->deadline - now), [this] { handleExpired(); });
+            return;
+        }
+    }
+    if (sentMayHaveWritten())
+        giveUp(ReplyCode::Unknown, "the endpoint did not answer in time");
+    else if (transaction_ && transaction_->opened)
+        giveUp(ReplyCode::Aborted, "the endpoint did not answer in time");
+    else if (sent)
+        giveUp(ReplyCode::Timeout, "the endpoint did not answer in time");
+    else
+        giveUp(ReplyCode::Busy, "no endpoint was available in time");
+}
+
+void CallerSession::giveUp(ReplyCode code, const std::string &message)
+{
+    if (work_->ticket != 0) {
+        work_->pool->cancel(work_->ticket);
+        work_->ticket = 0;
+    }
+    if (link_ && link_->outstanding() > 0)
+        discardLink();
+    else
+        releaseLink();
+    const bool ended = work_->statement.verb == Verb::Commit;
+    failed_ = transaction_.has_value() && !ended;
+    if (ended)
+        transaction_.reset();
+    StatementReply reply;
+    reply.failure = code;
+    reply.message = message;
+    finish(std::move(reply));
+}
+
+void CallerSession::finish(StatementReply reply)
+{
+    stopTimers();
+    if (work_->statement.verb == Verb::Commit) {
+        transaction_.reset();
+        failed_ = false;
+    }
+    if (transaction_)
+        transaction_->lastActivity = services_.clock().now();
+    work_.reset();
+    reply.phase = phase();
+    channel_.sendReply(reply);
+    continueInput();
+}
+
+void CallerSession::replyLocally(std::optional<ReplyCode> failure, const std::string &message)
+{
+    StatementReply reply;
+    reply.failure = failure;
+    reply.message = message;
+    reply.phase = phase();
+    channel_.sendReply(reply);
+    continueInput();
+}
+
+void CallerSession::continueInput()
+{
+    if (input_.empty()) {
+        if (ending_)
+            finishTransactions();
+        else if (draining_ && !transaction_ && !failed_)
+            channel_.close();
+        return;
+    }
+    SessionStatement next = std::move(input_.front());
+    input_.pop_front();
+    startStatement(std::move(next));
+}
+
+void CallerSession::tick()
+{
+    if (!transaction_ || work_ || failed_)
+        return;
+    const TimePoint now = services_.clock().now();
+    if (link_ && now - transaction_->lastActivity > services_.view().transactionIdle) {
+        transaction_->broken = true;
+        releaseLink();
+    }
+}
+
+void CallerSession::startDrain()
+{
+    draining_ = true;
+    if (!work_ && !transaction_ && !failed_)
+        channel_.close();
+}
+
+void CallerSession::finishTransactions()
+{
+    ending_ = true;
+    if (work_)
+        return;
+    endTransaction();
+    channel_.close();
+}
+
+void CallerSession::releaseLink()
+{
+    if (auto *link = std::exchange(link_, nullptr))
+        link->pool().release(*link);
+}
+
+void CallerSession::discardLink()
+{
+    if (auto *link = std::exchange(link_, nullptr))
+        link->pool().discard(*link);
+}
+
+void CallerSession::stopTimers()
+{
+    services_.loop().cancelTimer(work_->timer);
+    services_.loop().cancelTimer(work_->retryTimer);
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/gateway/endpoint_link.h
@@ -0,0 +1,55 @@
+#ifndef PISTACHIOWOOD_GATEWAY_ENDPOINT_LINK_H
+#define PISTACHIOWOOD_GATEWAY_ENDPOINT_LINK_H
+
+#include "gateway/deployment.h"
+#include "gateway/statement.h"
+
+#include <memory>
+#include <string>
+
+namespace pistachiowood {
+
+/// Why a connection to an endpoint could not be opened or has ended.
+enum class LinkFailure {
+    Unreachable, ///< refused, or not established in time
+    Misrouted, ///< the address belongs to another endpoint
+    TooManyConnections,
+    Refused, ///< the endpoint refused the session for another reason
+    Lost, ///< closed after it was open
+};
+
+/// Receives the events of one connection to an endpoint.
+class EndpointLinkListener
+{
+public:
+    virtual ~EndpointLinkListener() = default;
+    virtual void handleLinkOpened(std::optional<TermPosition> position) = 0;
+    /// Replies come in the order of the statements.
+    virtual void handleLinkReply(StatementReply reply) = 0;
+    /// No event follows.
+    virtual void handleLinkFailed(LinkFailure failure, const std::string &reason) = 0;
+};
+
+/// One session with an endpoint; destroying it closes the connection.
+class EndpointLink
+{
+public:
+    virtual ~EndpointLink() = default;
+    virtual void send(const SessionStatement &statement) = 0;
+};
+
+/// Opens connections to endpoints in the protocol that they speak.
+class EndpointDialer
+{
+public:
+    virtual ~EndpointDialer() = default;
+    virtual std::unique_ptr<EndpointLink> dial(const ServiceName &service,
+                                               const EndpointView &endpoint,
+                                               EndpointLinkListener &listener) = 0;
+    /// Reads the answer to a Status or Demote statement.
+    virtual std::optional<EndpointStatus> decodeStatus(const StatementReply &reply) = 0;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,349 @@
+#include "gateway/gateway.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr Milliseconds tickPeriod{100};
+// Connections of an endpoint that the daemons leave free for status queries and restarts.
+constexpr unsigned reservedConnections = 2;
+// A primary without a reply for this long is asked for its status, so that its position stays
+// newer than the smallest accepted staleness (1.5 s) and its failure is noticed.
+constexpr Milliseconds primaryProbeInterval{500};
+constexpr Milliseconds failingProbeInterval{300};
+constexpr Milliseconds probeTimeout{1000};
+constexpr unsigned probePriority = 0;
+
+} // namespace
+
+/// One status statement on a connection of a pool.
+class Gateway::StatusQuery final : public LinkUser
+{
+public:
+    StatusQuery(Gateway &gateway, std::uint64_t id, SessionStatement statement,
+                StatusCallback callback)
+        : gateway_(gateway)
+        , id_(id)
+        , statement_(std::move(statement))
+        , callback_(std::move(callback))
+    {
+    }
+
+    ~StatusQuery() override
+    {
+        gateway_.loop_.cancelTimer(timer_);
+        if (ticket_ != 0 && pool_)
+            pool_->cancel(ticket_);
+        if (link_)
+            link_->pool().release(*link_);
+    }
+
+    void start(LinkPool &pool, Milliseconds timeout)
+    {
+        pool_ = &pool;
+        timer_ = gateway_.loop_.startTimer(timeout, [this] { finish(std::nullopt); });
+        ticket_ = pool.acquire(*this, {}, probePriority, gateway_.clock_.now() + timeout);
+    }
+
+    void handleLinkGranted(PooledLink &link) override
+    {
+        ticket_ = 0;
+        link_ = &link;
+        link.send(statement_);
+    }
+
+    void handleLinkRefused(LinkFailure) override
+    {
+        ticket_ = 0;
+        finish(std::nullopt);
+    }
+
+    void handleReply(StatementReply reply) override
+    {
+        finish(reply.succeeded() ? gateway_.dialer_.decodeStatus(reply) : std::nullopt);
+    }
+
+    void handleLinkLost() override
+    {
+        link_ = nullptr;
+        finish(std::nullopt);
+    }
+
+private:
+    void finish(std::optional<EndpointStatus> status)
+    {
+        const auto self = std::move(gateway_.queries_.extract(id_).mapped());
+        gateway_.loop_.post([callback = std::move(callback_), status] { callback(status); });
+    }
+
+    Gateway &gateway_;
+    std::uint64_t id_;
+    SessionStatement statement_;
+    StatusCallback callback_;
+    LinkPool *pool_ = nullptr;
+    LinkPool::Ticket ticket_ = 0;
+    PooledLink *link_ = nullptr;
+    TimerId timer_ = 0;
+};
+
+Gateway::Gateway(EventLoop &loop, const Clock &clock, EndpointDialer &dialer)
+    : loop_(loop)
+    , clock_(clock)
+    , dialer_(dialer)
+{
+}
+
+Gateway::~Gateway()
+{
+    *alive_ = false;
+    sessions_.clear();
+    queries_.clear();
+}
+
+void Gateway::start(EvidenceHandler evidence)
+{
+    evidence_ = std::move(evidence);
+    tick();
+}
+
+void Gateway::setView(std::shared_ptr<const DeploymentView> view)
+{
+    view_ = std::move(view);
+    for (const auto &[name, service] : view_->services) {
+        ServiceTraffic &traffic = services_[name];
+        traffic.positions.setPrimaryEpoch(service.primaryEpoch);
+        updatePools(service, traffic);
+    }
+    for (auto &[name, traffic] : services_) {
+        if (view_->services.count(name) > 0)
+            continue;
+        for (auto &[id, pool] : traffic.pools)
+            pool->shutDown(LinkFailure::Misrouted);
+    }
+    std::erase_if(services_,
+                  [&](const auto &entry) { return view_->services.count(entry.first) == 0; });
+    wakeSessions();
+}
+
+void Gateway::updatePools(const ServiceView &service, ServiceTraffic &traffic)
+{
+    const unsigned shared
+        = service.maxConnections > reservedConnections ? service.maxConnections - reservedConnections : 1;
+    const std::size_t limit = std::max(1U, shared / std::max(1U, view_->daemons));
+    std::set<EndpointId> present;
+    for (const EndpointView &endpoint : service.endpoints) {
+        present.insert(endpoint.id);
+        auto &pool = traffic.pools[endpoint.id];
+        if (!pool) {
+            pool = std::make_unique<LinkPool>(
+                loop_, clock_, dialer_, service.name, endpoint,
+                [this, name = service.name, id = endpoint.id](TimePoint at, TermPosition position) {
+                    recordPosition(name, id, at, position);
+                });
+        }
+        pool->setEndpoint(endpoint);
+        pool->setLimit(limit);
+    }
+    for (auto entry = traffic.pools.begin(); entry != traffic.pools.end();) {
+        if (present.count(entry->first) > 0) {
+            ++entry;
+            continue;
+        }
+        // Users of the pool act on their own state first; the pool itself goes afterwards.
+        std::shared_ptr<LinkPool> dying(std::move(entry->second));
+        replicaLags_.erase(entry->first);
+        lastProbe_.erase(entry->first);
+        entry = traffic.pools.erase(entry);
+        dying->shutDown(LinkFailure::Misrouted);
+        loop_.post([dying] {});
+    }
+}
+
+void Gateway::permitPrimaries(TimePoint until)
+{
+    if (until <= permittedUntil_)
+        return;
+    const bool wasPermitted = primariesPermitted();
+    permittedUntil_ = until;
+    if (!wasPermitted)
+        wakeSessions();
+}
+
+void Gateway::wakeSessions()
+{
+    std::vector<SessionId> waiting;
+    for (const auto &[id, session] : sessions_) {
+        if (session->hasWork())
+            waiting.push_back(id);
+    }
+    for (const SessionId id : waiting) {
+        if (const auto found = sessions_.find(id); found != sessions_.end())
+            found->second->handleViewChanged();
+    }
+}
+
+const ServiceView *Gateway::findService(const ServiceName &service) const
+{
+    const auto found = view_->services.find(service);
+    return found == view_->services.end() ? nullptr : &found->second;
+}
+
+LinkPool *Gateway::findPool(const ServiceName &service, const EndpointId &endpoint)
+{
+    const auto traffic = services_.find(service);
+    if (traffic == services_.end())
+        return nullptr;
+    const auto pool = traffic->second.pools.find(endpoint);
+    return pool == traffic->second.pools.end() ? nullptr : pool->second.get();
+}
+
+const PositionHistory &Gateway::positions(const ServiceName &service)
+{
+    return services_[service].positions;
+}
+
+ReplicaLag &Gateway::replicaLag(const EndpointId &endpoint)
+{
+    return replicaLags_[endpoint];
+}
+
+bool Gateway::primariesPermitted() const
+{
+    return clock_.now() < permittedUntil_;
+}
+
+void Gateway::recordPosition(const ServiceName &service, const EndpointId &endpoint,
+                             TimePoint askedAt, TermPosition position)
+{
+    const ServiceView *found = findService(service);
+    if (!found)
+        return;
+    PositionHistory &history = services_[service].positions;
+    if (found->primary == endpoint) {
+        // Only a primary that cannot have been replaced when it was asked has every commit.
+        if (askedAt < permittedUntil_)
+            history.record(askedAt, position);
+        return;
+    }
+    const auto reached = history.reachedAt(position);
+    const auto lag = reached ? std::chrono::duration_cast<Milliseconds>(clock_.now() - *reached)
+                             : Milliseconds(0);
+    replicaLags_[endpoint].recordPosition(position, std::max(lag, Milliseconds(0)));
+}
+
+std::optional<Gateway::SessionId> Gateway::openSession(const std::string &database,
+                                                       CallerChannel &channel)
+{
+    const auto route = view_->routes.find(database);
+    if (route == view_->routes.end())
+        return std::nullopt;
+    const SessionId id = ++lastSession_;
+    GatewayServices &services = *this;
+    auto session = std::make_unique<CallerSession>(services, channel, route->second);
+    if (draining_)
+        session->closeWhenIdle();
+    sessions_.emplace(id, std::move(session));
+    return id;
+}
+
+void Gateway::handleStatement(SessionId session, SessionStatement statement)
+{
+    if (const auto found = sessions_.find(session); found != sessions_.end()) {
+        found->second->handleStatement(std::move(statement));
+    }
+}
+
+void Gateway::closeSession(SessionId session)
+{
+    sessions_.erase(session);
+}
+
+void Gateway::queryStatus(const ServiceName &service, const EndpointId &endpoint,
+                          SessionStatement statement, Milliseconds timeout,
+                          StatusCallback callback)
+{
+    LinkPool *pool = findPool(service, endpoint);
+    if (!pool) {
+        callback(std::nullopt);
+        return;
+    }
+    const std::uint64_t id = ++lastQuery_;
+    auto &query = queries_[id];
+    query = std::make_unique<StatusQuery>(*this, id, std::move(statement), std::move(callback));
+    query->start(*pool, timeout);
+}
+
+void Gateway::tick()
+{
+    std::vector<PrimaryEvidence> evidence;
+    for (auto &[name, traffic] : services_) {
+        const ServiceView *service = findService(name);
+        for (auto &[id, pool] : traffic.pools) {
+            pool->tick();
+            if (service && service->primary == id) {
+                const LinkPoolHealth health = pool->health();
+                evidence.push_back({name, id, health.lastReply, health.failingSince});
+            }
+        }
+        if (service)
+            probeEndpoints(*service, traffic);
+    }
+    for (const auto &[id, session] : sessions_)
+        session->tick();
+    if (evidence_)
+        evidence_(std::move(evidence));
+    loop_.startTimer(tickPeriod, [this, alive = alive_] {
+        if (*alive)
+            tick();
+    });
+}
+
+void Gateway::probeEndpoints(const ServiceView &service, ServiceTraffic &traffic)
+{
+    const TimePoint now = clock_.now();
+    for (const EndpointView &endpoint : service.endpoints) {
+        const LinkPoolHealth health = traffic.pools.at(endpoint.id)->health();
+        const bool isPrimary = service.primary == endpoint.id;
+        const auto interval = health.failingSince ? failingProbeInterval : primaryProbeInterval;
+        if (!isPrimary && !health.failingSince)
+            continue;
+        if (health.lastReply && now - *health.lastReply < interval)
+            continue;
+        TimePoint &last = lastProbe_[endpoint.id];
+        if (now - last < interval)
+            continue;
+        last = now;
+        queryStatus(service.name, endpoint.id, {.verb = Verb::Status}, probeTimeout,
+                    [](const std::optional<EndpointStatus> &) {});
+    }
+}
+
+void Gateway::startDrain()
+{
+    draining_ = true;
+    std::vector<SessionId> open;
+    for (const auto &entry : sessions_)
+        open.push_back(entry.first);
+    for (const SessionId id : open) {
+        if (const auto found = sessions_.find(id); found != sessions_.end())
+            found->second->startDrain();
+    }
+}
+
+void Gateway::finishTransactions()
+{
+    std::vector<SessionId> open;
+    for (const auto &entry : sessions_)
+        open.push_back(entry.first);
+    for (const SessionId id : open) {
+        if (const auto found = sessions_.find(id); found != sessions_.end())
+            found->second->finishTransactions();
+    }
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,101 @@
+#ifndef PISTACHIOWOOD_GATEWAY_GATEWAY_H
+#define PISTACHIOWOOD_GATEWAY_GATEWAY_H
+
+#include "gateway/caller_session.h"
+#include "gateway/gateway_services.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace pistachiowood {
+
+/// What this daemon knows of the reachability of one primary.
+struct PrimaryEvidence
+{
+    ServiceName service;
+    EndpointId endpoint;
+    std::optional<TimePoint> lastReply;
+    std::optional<TimePoint> failingSince;
+};
+
+/// Sessions of callers and connections to endpoints of one traffic thread. Every function runs in
+/// the thread of the loop.
+class Gateway final : private GatewayServices
+{
+public:
+    using StatusCallback = std::function<void(std::optional<EndpointStatus>)>;
+    using EvidenceHandler = std::function<void(std::vector<PrimaryEvidence>)>;
+    using SessionId = std::uint64_t;
+
+    Gateway(EventLoop &loop, const Clock &clock, EndpointDialer &dialer);
+    ~Gateway() override;
+
+    /// Starts the periodic work; the handler receives the evidence every 100 ms.
+    void start(EvidenceHandler evidence);
+
+    void setView(std::shared_ptr<const DeploymentView> view);
+    /// Permits the use of the view's primaries until the time.
+    void permitPrimaries(TimePoint until);
+
+    /// Opens a session with a database; nullopt if no route has the name.
+    std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
+    void handleStatement(SessionId session, SessionStatement statement);
+    void closeSession(SessionId session);
+    std::size_t openSessions() const { return sessions_.size(); }
+
+    /// Sends a Status or Demote statement; nullopt if there was no answer in time.
+    void queryStatus(const ServiceName &service, const EndpointId &endpoint,
+                     SessionStatement statement, Milliseconds timeout, StatusCallback callback);
+
+    /// Closes idle sessions now and the others when they become idle.
+    void startDrain();
+    /// Ends transactions between statements.
+    void finishTransactions();
+
+private:
+    class StatusQuery;
+    struct ServiceTraffic
+    {
+        PositionHistory positions;
+        std::map<EndpointId, std::unique_ptr<LinkPool>> pools;
+    };
+
+    EventLoop &loop() override { return loop_; }
+    const Clock &clock() const override { return clock_; }
+    const DeploymentView &view() const override { return *view_; }
+    const ServiceView *findService(const ServiceName &service) const override;
+    LinkPool *findPool(const ServiceName &service, const EndpointId &endpoint) override;
+    const PositionHistory &positions(const ServiceName &service) override;
+    ReplicaLag &replicaLag(const EndpointId &endpoint) override;
+    bool primariesPermitted() const override;
+
+    void updatePools(const ServiceView &service, ServiceTraffic &traffic);
+    void recordPosition(const ServiceName &service, const EndpointId &endpoint, TimePoint askedAt,
+                        TermPosition position);
+    void wakeSessions();
+    void tick();
+    void probeEndpoints(const ServiceView &service, ServiceTraffic &traffic);
+
+    EventLoop &loop_;
+    const Clock &clock_;
+    EndpointDialer &dialer_;
+    std::shared_ptr<const DeploymentView> view_ = std::make_shared<DeploymentView>();
+    TimePoint permittedUntil_{};
+    std::map<ServiceName, ServiceTraffic> services_;
+    std::map<EndpointId, ReplicaLag> replicaLags_;
+    std::unordered_map<SessionId, std::unique_ptr<CallerSession>> sessions_;
+    std::map<std::uint64_t, std::unique_ptr<StatusQuery>> queries_;
+    std::map<EndpointId, TimePoint> lastProbe_;
+    SessionId lastSession_ = 0;
+    std::uint64_t lastQuery_ = 0;
+    bool draining_ = false;
+    EvidenceHandler evidence_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/gateway/link_pool.cpp
@@ -0,0 +1,346 @@
+#include "gateway/link_pool.h"
+
+#include "base/address.h"
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr double latencyWeight = 0.1; // share of a new reply in the smoothed latency
+// An endpoint closes connections that are idle for a minute; used ones are kept well below it.
+constexpr Milliseconds idleLifetime{30000};
+// Wait after a failed connect, doubled with each failure: an endpoint restarts within seconds.
+constexpr Milliseconds dialBackoff{100};
+constexpr unsigned maxDialBackoffShift = 3;
+// A busy endpoint replies within its statement time-out of about a second; longer silence counts
+// as a failure.
+constexpr Milliseconds silenceLimit{1000};
+// A handshake takes 12 ms and a queue of statements; longer waits end the attempt.
+constexpr Milliseconds handshakeLimit{2000};
+
+} // namespace
+
+PooledLink::PooledLink(LinkPool &pool, std::uint64_t id)
+    : pool_(pool)
+    , id_(id)
+{
+}
+
+PooledLink::~PooledLink() = default;
+
+void PooledLink::send(const SessionStatement &statement)
+{
+    ++outstanding_;
+    lastSend_ = pool_.clock_.now();
+    link_->send(statement);
+}
+
+void PooledLink::handleLinkOpened(std::optional<TermPosition> position)
+{
+    pool_.handleOpened(*this, position);
+}
+
+void PooledLink::handleLinkReply(StatementReply reply)
+{
+    pool_.handleReply(*this, std::move(reply));
+}
+
+void PooledLink::handleLinkFailed(LinkFailure failure, const std::string &reason)
+{
+    pool_.handleFailed(*this, failure, reason);
+}
+
+LinkPool::LinkPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer,
+                   ServiceName service, EndpointView endpoint, PositionHandler positions)
+    : loop_(loop)
+    , clock_(clock)
+    , dialer_(dialer)
+    , service_(std::move(service))
+    , endpoint_(std::move(endpoint))
+    , positions_(std::move(positions))
+{
+}
+
+LinkPool::~LinkPool()
+{
+    *alive_ = false;
+}
+
+LinkPool::Ticket LinkPool::acquire(LinkUser &user, const SessionVariables &variables,
+                                   unsigned priority, TimePoint deadline)
+{
+    const Ticket ticket = ++lastTicket_;
+    waiters_.emplace(WaiterKey{priority, deadline, ticket}, Waiter{ticket, &user, variables});
+    // The grant comes after the caller has stored the ticket.
+    loop_.post([this, alive = alive_] {
+        if (*alive)
+            serveWaiters();
+    });
+    return ticket;
+}
+
+void LinkPool::cancel(Ticket ticket)
+{
+    std::erase_if(waiters_, [&](const auto &entry) { return entry.second.ticket == ticket; });
+}
+
+PooledLink *LinkPool::findIdle(const SessionVariables &variables)
+{
+    PooledLink *best = nullptr;
+    std::size_t bestChanges = 0;
+    for (const auto &[id, link] : links_) {
+        if (link->state_ != PooledLink::State::Idle)
+            continue;
+        const std::size_t changes = countVariableChanges(link->sessionState, variables);
+        if (!best || changes < bestChanges
+            || (changes == bestChanges && link->idleSince_ > best->idleSince_)) {
+            best = link.get();
+            bestChanges = changes;
+        }
+    }
+    return best;
+}
+
+void LinkPool::serveWaiters()
+{
+    while (!waiters_.empty()) {
+        PooledLink *link = findIdle(waiters_.begin()->second.variables);
+        if (!link)
+            break;
+        const Waiter waiter = std::move(waiters_.extract(waiters_.begin()).mapped());
+        grant(*link, *waiter.user);
+    }
+    openLinks();
+}
+
+void LinkPool::openLinks()
+{
+    if (waiters_.empty())
+        return;
+    if (clock_.now() < dialBlockedUntil_) {
+        const bool none = std::none_of(links_.begin(), links_.end(), [](const auto &entry) {
+            return entry.second->state_ != PooledLink::State::Opening;
+        });
+        if (none)
+            refuseWaiters(LinkFailure::Unreachable);
+        return;
+    }
+    auto opening = static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
+            return entry.second->state_ == PooledLink::State::Opening;
+        }));
+    while (opening < waiters_.size() && links_.size() < limit_) {
+        const std::uint64_t id = ++lastLink_;
+        auto &link = links_.emplace(id, std::make_unique<PooledLink>(*this, id)).first->second;
+        link->lastSend_ = clock_.now();
+        link->link_ = dialer_.dial(service_, endpoint_, *link);
+        ++opening;
+    }
+}
+
+void LinkPool::grant(PooledLink &link, LinkUser &user)
+{
+    link.state_ = PooledLink::State::InUse;
+    link.user_ = &user;
+    user.handleLinkGranted(link);
+}
+
+void LinkPool::refuseWaiters(LinkFailure failure)
+{
+    auto refused = std::exchange(waiters_, {});
+    for (auto &[key, waiter] : refused)
+        waiter.user->handleLinkRefused(failure);
+}
+
+void LinkPool::release(PooledLink &link)
+{
+    link.user_ = nullptr;
+    if (link.outstanding_ > 0) {
+        discard(link);
+        return;
+    }
+    if (link.phase_ != SessionPhase::Idle) {
+        link.state_ = PooledLink::State::RollingBack;
+        link.send({.verb = Verb::Rollback});
+        return;
+    }
+    link.state_ = PooledLink::State::Idle;
+    link.idleSince_ = clock_.now();
+    if (!waiters_.empty()) {
+        loop_.post([this, alive = alive_] {
+            if (*alive)
+                serveWaiters();
+        });
+    }
+}
+
+void LinkPool::discard(PooledLink &link)
+{
+    removeLink(link.id_);
+}
+
+void LinkPool::removeLink(std::uint64_t id)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end())
+        return;
+    // The link may be inside one of its own events.
+    std::shared_ptr<PooledLink> dying(std::move(found->second));
+    links_.erase(found);
+    dying->user_ = nullptr;
+    dying->link_.reset();
+    loop_.post([this, alive = alive_, dying] {
+        if (*alive)
+            serveWaiters();
+    });
+}
+
+void LinkPool::handleOpened(PooledLink &link, std::optional<TermPosition> position)
+{
+    dialFailures_ = 0;
+    noteReply(link.lastSend_);
+    if (position)
+        positions_(link.lastSend_, *position);
+    link.state_ = PooledLink::State::Idle;
+    link.idleSince_ = clock_.now();
+    serveWaiters();
+}
+
+void LinkPool::handleReply(PooledLink &link, StatementReply reply)
+{
+    if (link.outstanding_ == 0) {
+        handleFailed(link, LinkFailure::Lost, "a reply without a statement");
+        return;
+    }
+    --link.outstanding_;
+    link.phase_ = reply.phase;
+    noteReply(link.lastSend_);
+    if (reply.position)
+        positions_(link.lastSend_, *reply.position);
+    if (link.state_ == PooledLink::State::RollingBack) {
+        if (reply.phase == SessionPhase::Idle)
+            release(link);
+        else
+            discard(link);
+        return;
+    }
+    if (link.user_)
+        link.user_->handleReply(std::move(reply));
+}
+
+void LinkPool::handleFailed(PooledLink &link, LinkFailure failure, const std::string &reason)
+{
+    const bool wasOpening = link.state_ == PooledLink::State::Opening;
+    LinkUser *user = std::exchange(link.user_, nullptr);
+    logEvent(Event::ConnectFailed, {{"endpoint", endpoint_.id.value()},
+                                    {"address", formatAddress(endpoint_.address)},
+                                    {"reason", reason}});
+    if (wasOpening) {
+        if (failure == LinkFailure::Unreachable)
+            noteFailure();
+        const unsigned shift = std::min(dialFailures_++, maxDialBackoffShift);
+        dialBlockedUntil_ = clock_.now() + dialBackoff * (1 << shift);
+    } else if (user) {
+        noteFailure();
+    }
+    removeLink(link.id_);
+    if (user)
+        user->handleLinkLost();
+    if (wasOpening && links_.empty())
+        refuseWaiters(failure);
+}
+
+void LinkPool::noteFailure()
+{
+    if (!failingSince_)
+        failingSince_ = clock_.now();
+}
+
+void LinkPool::noteReply(TimePoint sentAt)
+{
+    const TimePoint now = clock_.now();
+    lastReply_ = now;
+    failingSince_.reset();
+    const double taken = std::chrono::duration<double, std::milli>(now - sentAt).count();
+    latencyMs_ += latencyWeight * (taken - latencyMs_);
+}
+
+void LinkPool::tick()
+{
+    const TimePoint now = clock_.now();
+    std::vector<std::uint64_t> idle;
+    std::vector<PooledLink *> stuck;
+    for (const auto &[id, link] : links_) {
+        if (link->state_ == PooledLink::State::Opening && now - link->lastSend_ > handshakeLimit)
+            stuck.push_back(link.get());
+        if (link->state_ == PooledLink::State::Idle && now - link->idleSince_ > idleLifetime)
+            idle.push_back(id);
+        const bool waits
+            = link->outstanding_ > 0 || link->state_ == PooledLink::State::Opening;
+        const bool silent = waits && now - link->lastSend_ > silenceLimit
+            && (!lastReply_ || *lastReply_ < link->lastSend_);
+        if (silent && !failingSince_)
+            failingSince_ = link->lastSend_;
+        if (link->state_ == PooledLink::State::RollingBack
+            && now - link->lastSend_ > silenceLimit)
+            idle.push_back(id);
+    }
+    for (const std::uint64_t id : idle)
+        removeLink(id);
+    for (PooledLink *link : stuck)
+        handleFailed(*link, LinkFailure::Unreachable, "no answer to the handshake");
+    while (!waiters_.empty()) {
+        // Deadlines are ordered within a priority only.
+        const auto expired = std::find_if(waiters_.begin(), waiters_.end(), [&](const auto &entry) {
+            return std::get<TimePoint>(entry.first) <= now;
+        });
+        if (expired == waiters_.end())
+            break;
+        const Waiter waiter = std::move(waiters_.extract(expired).mapped());
+        waiter.user->handleLinkRefused(LinkFailure::Refused);
+    }
+    serveWaiters();
+}
+
+void LinkPool::shutDown(LinkFailure failure)
+{
+    refuseWaiters(failure);
+    std::vector<std::uint64_t> ids;
+    for (const auto &entry : links_)
+        ids.push_back(entry.first);
+    for (const std::uint64_t id : ids) {
+        LinkUser *user = links_.at(id)->user_;
+        removeLink(id);
+        if (user)
+            user->handleLinkLost();
+    }
+}
+
+bool LinkPool::usable() const
+{
+    const bool open = std::any_of(links_.begin(), links_.end(), [](const auto &entry) {
+        return entry.second->state_ != PooledLink::State::Opening;
+    });
+    return !failingSince_ && (open || clock_.now() >= dialBlockedUntil_);
+}
+
+LinkPoolHealth LinkPool::health() const
+{
+    LinkPoolHealth health;
+    health.lastReply = lastReply_;
+    health.failingSince = failingSince_;
+    health.latency = Milliseconds(static_cast<std::int64_t>(latencyMs_));
+    health.inUse = static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
+            return entry.second->state_ == PooledLink::State::InUse;
+        }));
+    health.waiting = waiters_.size();
+    health.limit = limit_;
+    return health;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/gateway/link_prelude.cpp
@@ -0,0 +1,73 @@
+#include "gateway/link_prelude.h"
+
+#include <algorithm>
+
+namespace pistachiowood {
+
+namespace {
+
+// Prepared statements kept per connection; a reset clears them. An endpoint keeps them in memory.
+constexpr std::size_t maxPreparedPerLink = 128;
+
+bool needsReset(const LinkSessionState &current, const SessionVariables &variables)
+{
+    // A variable cannot be unset alone.
+    return std::any_of(current.variables.begin(), current.variables.end(), [&](const auto &entry) {
+        return variables.count(entry.first) == 0;
+    });
+}
+
+} // namespace
+
+std::string preparedName(std::size_t index)
+{
+    return "p" + std::to_string(index);
+}
+
+LinkPrelude planPrelude(const LinkSessionState &current, const SessionVariables &variables,
+                        const PreparedStatement *needed, bool inTransaction)
+{
+    LinkPrelude plan;
+    plan.result = current;
+    const bool tooManyPrepared = current.prepared.size() >= maxPreparedPerLink;
+    if (!inTransaction && (needsReset(current, variables) || tooManyPrepared)) {
+        plan.statements.push_back({.verb = Verb::Reset});
+        plan.result = {};
+    }
+    for (const auto &[name, value] : variables) {
+        const auto known = plan.result.variables.find(name);
+        if (known != plan.result.variables.end() && known->second == value)
+            continue;
+        plan.statements.push_back({.verb = Verb::Set, .name = name, .arguments = value});
+        plan.result.variables[name] = value;
+    }
+    if (needed) {
+        auto &prepared = plan.result.prepared;
+        auto found = std::find(prepared.begin(), prepared.end(), *needed);
+        if (found == prepared.end()) {
+            found = prepared.insert(prepared.end(), *needed);
+            plan.statements.push_back({.verb = Verb::Prepare,
+                                       .name = preparedName(prepared.size() - 1),
+                                       .arguments = needed->definition,
+                                       .writes = needed->writes});
+        }
+        plan.preparedName = preparedName(static_cast<std::size_t>(found - prepared.begin()));
+    }
+    return plan;
+}
+
+std::size_t countVariableChanges(const LinkSessionState &current,
+                                 const SessionVariables &variables)
+{
+    std::size_t changes = needsReset(current, variables) ? 1 + variables.size() : 0;
+    if (changes > 0)
+        return changes;
+    for (const auto &[name, value] : variables) {
+        const auto known = current.variables.find(name);
+        if (known == current.variables.end() || known->second != value)
+            ++changes;
+    }
+    return changes;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/gateway/position_history.cpp
@@ -0,0 +1,75 @@
+#include "gateway/position_history.h"
+
+#include <algorithm>
+
+namespace pistachiowood {
+
+namespace {
+
+// Samples closer together than this are merged; the accepted staleness is a hundred times larger.
+constexpr Milliseconds sampleSpacing{10};
+constexpr std::size_t maxSamples = 1024; // 10 s of samples, beyond every accepted staleness seen
+
+} // namespace
+
+void PositionHistory::setPrimaryEpoch(std::uint64_t epoch)
+{
+    if (epoch == epoch_)
+        return;
+    epoch_ = epoch;
+    samples_.clear();
+}
+
+void PositionHistory::record(TimePoint askedAt, TermPosition position)
+{
+    if (samples_.empty()) {
+        samples_.push_back({askedAt, position});
+        return;
+    }
+    // Replies can cross: a position that is already covered later adds nothing.
+    auto place = std::upper_bound(
+        samples_.begin(), samples_.end(), askedAt,
+        [](TimePoint time, const Sample &sample) { return time < sample.askedAt; });
+    if (place != samples_.begin() && std::prev(place)->position >= position)
+        position = std::prev(place)->position;
+    if (place != samples_.end() && place->position <= position)
+        return; // a later question saw no more than this one
+    if (place != samples_.begin() && place == samples_.end() && samples_.size() > 1
+        && askedAt - std::prev(place)->askedAt < sampleSpacing
+        && askedAt - std::prev(place, 2)->askedAt < sampleSpacing) {
+        samples_.back() = {askedAt, position};
+        return;
+    }
+    samples_.insert(place, {askedAt, position});
+    if (samples_.size() > maxSamples)
+        samples_.pop_front();
+}
+
+std::optional<TermPosition> PositionHistory::positionCovering(TimePoint time) const
+{
+    const auto place = std::lower_bound(
+        samples_.begin(), samples_.end(), time,
+        [](const Sample &sample, TimePoint wanted) { return sample.askedAt < wanted; });
+    if (place == samples_.end())
+        return std::nullopt;
+    return place->position;
+}
+
+std::optional<TimePoint> PositionHistory::reachedAt(TermPosition position) const
+{
+    const auto place = std::upper_bound(
+        samples_.begin(), samples_.end(), position,
+        [](TermPosition wanted, const Sample &sample) { return wanted < sample.position; });
+    if (place == samples_.end())
+        return std::nullopt; // the position is the newest known
+    return place->askedAt;
+}
+
+std::optional<TimePoint> PositionHistory::newestSample() const
+{
+    if (samples_.empty())
+        return std::nullopt;
+    return samples_.back().askedAt;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/gateway/read_choice.cpp
@@ -0,0 +1,70 @@
+#include "gateway/read_choice.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pistachiowood {
+
+namespace {
+
+// Price of a read's bytes by distance, as the waiting time that it is worth to avoid: bytes between
+// regions are billed and share 30 Mbit/s.
+constexpr std::array<double, 3> distanceCostMs{0, 12, 80};
+// Keeps slots of the primary for writes while a replica is about as fast.
+constexpr double primaryCostMs = 20;
+constexpr double lagWeight = 0.2; // share of a new observation in the smoothed lag
+// Time for which a replica that lagged is avoided, doubled with each further miss.
+constexpr Milliseconds lagBackoff{100};
+constexpr unsigned maxLagBackoffShift = 4;
+
+double expectedCost(const ReadCandidate &candidate)
+{
+    const double queue = static_cast<double>(candidate.inUse + candidate.waiting)
+        / static_cast<double>(std::max<std::size_t>(candidate.limit, 1));
+    const double latency = static_cast<double>(candidate.latency.count()) * (1 + queue);
+    const auto distance = std::min<std::size_t>(candidate.distance, distanceCostMs.size() - 1);
+    return latency + distanceCostMs.at(distance) + (candidate.primary ? primaryCostMs : 0);
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseReadEndpoint(std::span<const ReadCandidate> candidates)
+{
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const ReadCandidate &candidate = candidates[i];
+        if (!candidate.usable || !candidate.expectedFresh)
+            continue;
+        const double cost = expectedCost(candidate);
+        if (!best || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void ReplicaLag::recordPosition(TermPosition position, Milliseconds lag)
+{
+    newest_ = newest_ ? std::max(*newest_, position) : position;
+    lagMs_ += lagWeight * (static_cast<double>(lag.count()) - lagMs_);
+    misses_ = 0;
+}
+
+void ReplicaLag::recordLagging(TimePoint now)
+{
+    const unsigned shift = std::min(misses_++, maxLagBackoffShift);
+    avoidUntil_ = now + lagBackoff * (1 << shift);
+}
+
+bool ReplicaLag::expectedFresh(TermPosition position, Milliseconds age, TimePoint now) const
+{
+    if (newest_ && *newest_ >= position)
+        return true;
+    if (now < avoidUntil_)
+        return false;
+    return static_cast<double>(age.count()) >= lagMs_;
+}
+
+} // namespace pistachiowood
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <map>
 #include <mutex>
+#include <sys/resource.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -18,10 +19,19 @@
 
 namespace {
 
-constexpr std::size_t maxHandles =
-    16384; // sockets per loop: 8192 callers plus endpoint connections
+// Sockets per loop on a VM without a lower descriptor limit: 8192 callers plus endpoint connections.
+constexpr std::size_t maxHandles = 16384;
 constexpr Milliseconds longestWait{1000};
 
+// The reactor stays unopened when its table is larger than the descriptor limit.
+std::size_t handleTableSize()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return maxHandles;
+    return std::min<std::size_t>(maxHandles, limit.rlim_cur);
+}
+
 } // namespace
 
 struct EventLoop::Private : public ACE_Event_Handler
@@ -29,7 +39,7 @@
     using TimerKey = std::pair<TimePoint, TimerId>;
 
     Private()
-        : devPollReactor(maxHandles)
+        : devPollReactor(handleTableSize())
         , reactor(&devPollReactor)
     {
     }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -12,7 +12,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace pistachiowood {
 
@@ -23,6 +25,9 @@
     std::string body;
     std::string bearer; ///< credential of "Authorization: Bearer", empty if absent
 
+    /// Further headers of an outgoing request, as name and value.
+    std::vector<std::pair<std::string, std::string>> headers;
+
     std::uint64_t connection = 0; ///< set by the server: id of the connection, unique per server
 };
 
--- a/src/net/http_codec.cpp
+++ b/src/net/http_codec.cpp
@@ -182,6 +182,8 @@
         message.set(http::field::authorization, std::string(bearerPrefix) + request.bearer);
     if (!request.body.empty())
         message.set(http::field::content_type, "application/json");
+    for (const auto &[name, value] : request.headers)
+        message.set(name, value);
     message.body() = request.body;
     message.prepare_payload();
     return serialize(message);
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,369 @@
+#include "net/stream.h"
+
+#include "base/address.h"
+#include "net/address_overrides.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstring>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 16 * 1024;
+constexpr int listenBacklog = 1024;
+constexpr int keepAliveProbes = 2; // unanswered probes after which the peer counts as gone
+
+} // namespace
+
+struct Stream::Private : public ACE_Event_Handler, public std::enable_shared_from_this<Private>
+{
+    enum class State { Connecting, Open, Closed };
+
+    Private(EventLoop &eventLoop, StreamOptions streamOptions, StreamListener *streamListener,
+            ByteCounter *byteCounter)
+        : loop(eventLoop)
+        , options(streamOptions)
+        , listener(streamListener)
+        , counter(byteCounter)
+    {
+    }
+
+    ~Private() override { stream.close(); }
+
+    ACE_HANDLE get_handle() const override { return stream.get_handle(); }
+
+    void startConnect(const SocketAddress &peer)
+    {
+        const SocketAddress &target = overriddenAddress(peer);
+        ACE_INET_Addr remote;
+        if (remote.set(target.port, target.host.c_str(), 1, AF_INET) != 0) {
+            failLater("invalid address");
+            return;
+        }
+        ACE_SOCK_Connector connector;
+        ACE_Time_Value immediately = ACE_Time_Value::zero;
+        if (connector.connect(stream, remote, &immediately) != 0 && errno != EWOULDBLOCK
+            && errno != EINPROGRESS) {
+            failLater(std::strerror(errno));
+            return;
+        }
+        stream.enable(ACE_NONBLOCK);
+        loop.reactor()->register_handler(this, CONNECT_MASK);
+        connectTimer = loop.startTimer(options.connectTimeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock(); self && self->state == State::Connecting)
+                self->fail("the connection was not established in time");
+        });
+    }
+
+    // Makes a peer that vanished without a reset visible within the peer time-out.
+    void setSocketOptions()
+    {
+        int enabled = 1;
+        stream.set_option(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        stream.set_option(SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+        int interval = std::max(1, static_cast<int>(options.peerTimeout.count() / 3000));
+        int probes = keepAliveProbes;
+        auto userTimeout = static_cast<unsigned>(options.peerTimeout.count());
+        stream.set_option(IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
+        stream.set_option(IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+        stream.set_option(IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+        stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
+    }
+
+    bool startReading()
+    {
+        stream.enable(ACE_NONBLOCK);
+        setSocketOptions();
+        state = State::Open;
+        return loop.reactor()->register_handler(this, READ_MASK) == 0;
+    }
+
+    int handle_input(ACE_HANDLE) override
+    {
+        const auto self = shared_from_this();
+        if (state == State::Connecting)
+            finishConnect();
+        else if (state == State::Open)
+            readInput();
+        return 0;
+    }
+
+    int handle_output(ACE_HANDLE) override
+    {
+        const auto self = shared_from_this();
+        if (state == State::Connecting)
+            finishConnect();
+        else if (state == State::Open)
+            writeOutput();
+        return 0;
+    }
+
+    // Called by the reactor when the peer hung up.
+    int handle_close(ACE_HANDLE, ACE_Reactor_Mask) override
+    {
+        const auto self = shared_from_this();
+        fail("the peer closed the connection");
+        return 0;
+    }
+
+    void finishConnect()
+    {
+        int socketError = 0;
+        int size = sizeof socketError;
+        stream.get_option(SOL_SOCKET, SO_ERROR, &socketError, &size);
+        loop.reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
+        loop.cancelTimer(connectTimer);
+        if (socketError != 0) {
+            fail(std::strerror(socketError));
+            return;
+        }
+        if (!startReading()) {
+            fail("the connection could not be registered");
+            return;
+        }
+        if (listener)
+            listener->handleStreamOpened();
+        if (state == State::Open)
+            writeOutput();
+    }
+
+    void readInput()
+    {
+        std::array<char, readChunkBytes> chunk;
+        const ssize_t count = stream.recv(chunk.data(), chunk.size());
+        if (count < 0 && (errno == EWOULDBLOCK || errno == EINTR))
+            return;
+        if (count <= 0) {
+            fail(count == 0 ? "the peer closed the connection" : std::strerror(errno));
+            return;
+        }
+        if (counter)
+            counter->received += static_cast<std::uint64_t>(count);
+        input.append(chunk.data(), static_cast<std::size_t>(count));
+        if (listener)
+            listener->handleStreamInput(input);
+    }
+
+    void send(std::string_view bytes)
+    {
+        if (state == State::Closed)
+            return;
+        output.append(bytes);
+        if (output.size() > options.maxOutputBytes) {
+            failLater("the peer does not read");
+            return;
+        }
+        if (state == State::Open && !writing)
+            writeOutput();
+    }
+
+    void writeOutput()
+    {
+        while (!output.empty()) {
+            const ssize_t count = stream.send(output.data(), output.size());
+            if (count > 0) {
+                if (counter) {
+                    counter->sent += static_cast<std::uint64_t>(count);
+                    ++counter->messages;
+                }
+                output.erase(0, static_cast<std::size_t>(count));
+            } else if (errno == EWOULDBLOCK || errno == EINTR) {
+                if (!std::exchange(writing, true))
+                    loop.reactor()->register_handler(this, WRITE_MASK);
+                return;
+            } else {
+                failLater(std::strerror(errno));
+                return;
+            }
+        }
+        if (std::exchange(writing, false))
+            loop.reactor()->remove_handler(this, WRITE_MASK | DONT_CALL);
+        if (closing)
+            close();
+    }
+
+    void close()
+    {
+        if (state == State::Closed)
+            return;
+        state = State::Closed;
+        loop.cancelTimer(connectTimer);
+        if (stream.get_handle() != ACE_INVALID_HANDLE) {
+            loop.reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
+            stream.close();
+        }
+    }
+
+    void fail(const std::string &reason)
+    {
+        if (state == State::Closed)
+            return;
+        close();
+        if (auto *receiver = std::exchange(listener, nullptr))
+            receiver->handleStreamClosed(reason);
+    }
+
+    // Reports a failure found inside a call of the owner after that call has returned.
+    void failLater(const std::string &reason)
+    {
+        loop.post([weak = weak_from_this(), reason] {
+            if (const auto self = weak.lock())
+                self->fail(reason);
+        });
+    }
+
+    EventLoop &loop;
+    StreamOptions options;
+    StreamListener *listener;
+    ByteCounter *counter;
+    ACE_SOCK_Stream stream;
+    State state = State::Connecting;
+    bool writing = false;
+    bool closing = false;
+    TimerId connectTimer = 0;
+    std::string input;
+    std::string output;
+};
+
+Stream::Stream(EventLoop &loop, const SocketAddress &peer, StreamOptions options,
+               StreamListener &listener, ByteCounter *counter)
+    : private_(std::make_shared<Private>(loop, options, &listener, counter))
+{
+    private_->startConnect(peer);
+}
+
+Stream::Stream(std::shared_ptr<Private> accepted)
+    : private_(std::move(accepted))
+{
+}
+
+Stream::~Stream()
+{
+    private_->listener = nullptr;
+    if (!private_->closing || private_->output.empty()) {
+        private_->close();
+    } else if (private_->state == Private::State::Open) {
+        // The reactor's registration keeps the object alive through this timer until it has sent.
+        private_->loop.startTimer(private_->options.peerTimeout,
+                                  [self = private_] { self->close(); });
+    }
+}
+
+void Stream::send(std::string_view bytes)
+{
+    private_->send(bytes);
+}
+
+void Stream::closeAfterOutput()
+{
+    private_->listener = nullptr;
+    private_->closing = true;
+    if (private_->output.empty())
+        private_->close();
+}
+
+bool Stream::isOpen() const
+{
+    return private_->state == Private::State::Open;
+}
+
+struct StreamServer::Private : public ACE_Event_Handler, public StreamServer::Acceptance
+{
+    Private(EventLoop &eventLoop, StreamOptions streamOptions, AcceptHandler acceptHandler,
+            ByteCounter *byteCounter)
+        : loop(eventLoop)
+        , options(streamOptions)
+        , handler(std::move(acceptHandler))
+        , counter(byteCounter)
+    {
+    }
+
+    ACE_HANDLE get_handle() const override { return acceptor.get_handle(); }
+
+    int handle_input(ACE_HANDLE) override
+    {
+        ACE_SOCK_Stream stream;
+        if (acceptor.accept(stream) == 0) {
+            accepted = stream;
+            handler(*this);
+            if (accepted.get_handle() != ACE_INVALID_HANDLE)
+                accepted.close(); // the handler refused it
+        }
+        return 0;
+    }
+
+    std::unique_ptr<Stream> accept(StreamListener &listener) override
+    {
+        auto connection
+            = std::make_shared<Stream::Private>(loop, options, &listener, counter);
+        connection->stream = std::exchange(accepted, ACE_SOCK_Stream());
+        if (!connection->startReading())
+            return nullptr;
+        return std::unique_ptr<Stream>(new Stream(std::move(connection)));
+    }
+
+    EventLoop &loop;
+    StreamOptions options;
+    AcceptHandler handler;
+    ByteCounter *counter;
+    ACE_SOCK_Acceptor acceptor;
+    ACE_SOCK_Stream accepted;
+    std::uint16_t port = 0;
+    bool listening = false;
+};
+
+StreamServer::StreamServer(EventLoop &loop, StreamOptions options, AcceptHandler handler,
+                           ByteCounter *counter)
+    : private_(std::make_unique<Private>(loop, options, std::move(handler), counter))
+{
+}
+
+StreamServer::~StreamServer()
+{
+    stopListening();
+}
+
+Result<void> StreamServer::listen(const SocketAddress &address)
+{
+    ACE_INET_Addr local;
+    if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
+        return makeError(ErrorCode::InvalidArgument, "invalid address " + formatAddress(address));
+    if (private_->acceptor.open(local, 1, AF_INET, listenBacklog) != 0) {
+        return makeError(ErrorCode::Unavailable,
+                         "cannot listen on " + formatAddress(address) + ": "
+                             + std::strerror(errno));
+    }
+    private_->acceptor.enable(ACE_NONBLOCK);
+    private_->acceptor.get_local_addr(local);
+    private_->port = local.get_port_number();
+    private_->loop.reactor()->register_handler(private_.get(), ACE_Event_Handler::ACCEPT_MASK);
+    private_->listening = true;
+    return {};
+}
+
+std::uint16_t StreamServer::port() const
+{
+    return private_->port;
+}
+
+void StreamServer::stopListening()
+{
+    if (!std::exchange(private_->listening, false))
+        return;
+    private_->loop.reactor()->remove_handler(
+        private_.get(), ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    private_->acceptor.close();
+}
+
+} // namespace pistachiowood
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -109,3 +109,40 @@
   # Asks whether the called daemon reaches the endpoint; not known means no evidence.
   confirmReachable @4 (service :Text, endpoint :Text) -> (known :Bool, reachable :Bool);
 }
+
+# One group of the platform's objects as a daemon holds it.
+struct GroupCopy {
+  version @0 :UInt64;
+  # False when the receiver is not older; then items is empty.
+  full @1 :Bool;
+  items @2 :List(StoredObject);
+}
+
+# Reachability of one primary, as its sender sees it; a negative age means never.
+struct PrimaryReport {
+  service @0 :Text;
+  endpoint @1 :Text;
+  replyAgeMs @2 :Int64;
+  failingAgeMs @3 :Int64;
+}
+
+# What a daemon tells a peer of the platform's objects and of the primaries.
+struct PeerReport {
+  vm @0 :Text;
+  # Versions of the groups that the sender holds, in the order of ObjectGroup.
+  versions @1 :List(UInt64);
+  # Version of the service records that the sender's traffic obeys.
+  obeyedRecords @2 :UInt64;
+  # Time since the sender's records were known to be complete; negative means never.
+  confirmedAgeMs @3 :Int64;
+  # Request: asks for the promise. Answer: the sender announces no replacement for the period of a
+  # permission.
+  promise @4 :Bool;
+  primaries @5 :List(PrimaryReport);
+  copies @6 :List(GroupCopy);
+}
+
+interface Peer {
+  # Exchanges reports.
+  exchange @0 (report :PeerReport) -> (report :PeerReport);
+}
--- a/src/rpc/peer.capnp.c++
+++ b/src/rpc/peer.capnp.c++
@@ -1881,6 +1881,466 @@
   0, 2, i_f460b4cc987fa4f5, nullptr, nullptr, { &s_f460b4cc987fa4f5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<66> b_88445ca53c02dd47 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     71, 221,   2,  60, 165,  92,  68, 136,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     97,  53, 233, 167, 210, 196, 241, 184,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  71, 114, 111, 117, 112,
+     67, 111, 112, 121,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 117, 108, 108,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 116, 101, 109, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     24,  76,  30,  77, 158, 109, 249, 211,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_88445ca53c02dd47 = b_88445ca53c02dd47.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_88445ca53c02dd47[] = {
+  &s_d3f96d9e4d1e4c18,
+};
+static const uint16_t m_88445ca53c02dd47[] = {1, 2, 0};
+static const uint16_t i_88445ca53c02dd47[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_88445ca53c02dd47 = {
+  0x88445ca53c02dd47, b_88445ca53c02dd47.words, 66, d_88445ca53c02dd47, m_88445ca53c02dd47,
+  1, 3, i_88445ca53c02dd47, nullptr, nullptr, { &s_88445ca53c02dd47, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<81> b_f31ae7a43dfd2932 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     50,  41, 253,  61, 164, 231,  26, 243,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     97,  53, 233, 167, 210, 196, 241, 184,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 114, 105, 109,  97,
+    114, 121,  82, 101, 112, 111, 114, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 112, 108, 121,  65, 103, 101,
+     77, 115,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 105, 108, 105, 110, 103,  65,
+    103, 101,  77, 115,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f31ae7a43dfd2932 = b_f31ae7a43dfd2932.words;
+#if !CAPNP_LITE
+static const uint16_t m_f31ae7a43dfd2932[] = {1, 3, 2, 0};
+static const uint16_t i_f31ae7a43dfd2932[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_f31ae7a43dfd2932 = {
+  0xf31ae7a43dfd2932, b_f31ae7a43dfd2932.words, 81, nullptr, m_f31ae7a43dfd2932,
+  0, 4, i_f31ae7a43dfd2932, nullptr, nullptr, { &s_f31ae7a43dfd2932, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<138> b_962558a1e02a3998 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    152,  57,  42, 224, 161,  88,  37, 150,
+     11,   0,   0,   0,   1,   0,   3,   0,
+     97,  53, 233, 167, 210, 196, 241, 184,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 143,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  82,
+    101, 112, 111, 114, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     28,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    185,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    212,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    209,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    208,   0,   0,   0,   3,   0,   1,   0,
+    220,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    217,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    228,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0, 128,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    225,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    220,   0,   0,   0,   3,   0,   1,   0,
+    232,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    229,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    228,   0,   0,   0,   3,   0,   1,   0,
+      0,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    253,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    248,   0,   0,   0,   3,   0,   1,   0,
+     20,   1,   0,   0,   2,   0,   1,   0,
+    118, 109,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    111,  98, 101, 121, 101, 100,  82, 101,
+     99, 111, 114, 100, 115,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 102, 105, 114, 109, 101,
+    100,  65, 103, 101,  77, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 111, 109, 105, 115, 101,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 114, 105, 109,  97, 114, 105, 101,
+    115,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     50,  41, 253,  61, 164, 231,  26, 243,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 112, 105, 101, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     71, 221,   2,  60, 165,  92,  68, 136,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_962558a1e02a3998 = b_962558a1e02a3998.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_962558a1e02a3998[] = {
+  &s_88445ca53c02dd47,
+  &s_f31ae7a43dfd2932,
+};
+static const uint16_t m_962558a1e02a3998[] = {3, 6, 2, 5, 4, 1, 0};
+static const uint16_t i_962558a1e02a3998[] = {0, 1, 2, 3, 4, 5, 6};
+const ::capnp::_::RawSchema s_962558a1e02a3998 = {
+  0x962558a1e02a3998, b_962558a1e02a3998.words, 138, d_962558a1e02a3998, m_962558a1e02a3998,
+  2, 7, i_962558a1e02a3998, nullptr, nullptr, { &s_962558a1e02a3998, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<28> b_abe3c4ae06416546 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     70, 101,  65,   6, 174, 196, 227, 171,
+     11,   0,   0,   0,   3,   0,   0,   0,
+     97,  53, 233, 167, 210, 196, 241, 184,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 130,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  71,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   5,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     84, 165,  30, 117, 175, 148,  72, 244,
+     41, 134,  95, 169, 185,  51, 112, 243,
+     17,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   7,   0,   0,   0,
+    101, 120,  99, 104,  97, 110, 103, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+      0,   0,   0,   0,   1,   0,   1,   0, }
+};
+::capnp::word const* const bp_abe3c4ae06416546 = b_abe3c4ae06416546.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_abe3c4ae06416546[] = {
+  &s_f37033b9a95f8629,
+  &s_f44894af751ea554,
+};
+static const uint16_t m_abe3c4ae06416546[] = {0};
+const ::capnp::_::RawSchema s_abe3c4ae06416546 = {
+  0xabe3c4ae06416546, b_abe3c4ae06416546.words, 28, d_abe3c4ae06416546, m_abe3c4ae06416546,
+  2, 1, nullptr, nullptr, nullptr, { &s_abe3c4ae06416546, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_f44894af751ea554 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     84, 165,  30, 117, 175, 148,  72, 244,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    101, 120,  99, 104,  97, 110, 103, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    152,  57,  42, 224, 161,  88,  37, 150,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f44894af751ea554 = b_f44894af751ea554.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f44894af751ea554[] = {
+  &s_962558a1e02a3998,
+};
+static const uint16_t m_f44894af751ea554[] = {0};
+static const uint16_t i_f44894af751ea554[] = {0};
+const ::capnp::_::RawSchema s_f44894af751ea554 = {
+  0xf44894af751ea554, b_f44894af751ea554.words, 32, d_f44894af751ea554, m_f44894af751ea554,
+  1, 1, i_f44894af751ea554, nullptr, nullptr, { &s_f44894af751ea554, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_f37033b9a95f8629 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     41, 134,  95, 169, 185,  51, 112, 243,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    101, 120,  99, 104,  97, 110, 103, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    152,  57,  42, 224, 161,  88,  37, 150,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f37033b9a95f8629 = b_f37033b9a95f8629.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f37033b9a95f8629[] = {
+  &s_962558a1e02a3998,
+};
+static const uint16_t m_f37033b9a95f8629[] = {0};
+static const uint16_t i_f37033b9a95f8629[] = {0};
+const ::capnp::_::RawSchema s_f37033b9a95f8629 = {
+  0xf37033b9a95f8629, b_f37033b9a95f8629.words, 33, d_f37033b9a95f8629, m_f37033b9a95f8629,
+  1, 1, i_f37033b9a95f8629, nullptr, nullptr, { &s_f37033b9a95f8629, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2213,6 +2673,92 @@
 constexpr ::capnp::_::RawSchema const* Control::ConfirmReachableResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// GroupCopy
+constexpr uint16_t GroupCopy::_capnpPrivate::dataWordSize;
+constexpr uint16_t GroupCopy::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind GroupCopy::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* GroupCopy::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// PrimaryReport
+constexpr uint16_t PrimaryReport::_capnpPrivate::dataWordSize;
+constexpr uint16_t PrimaryReport::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PrimaryReport::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PrimaryReport::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// PeerReport
+constexpr uint16_t PeerReport::_capnpPrivate::dataWordSize;
+constexpr uint16_t PeerReport::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PeerReport::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PeerReport::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults>
+Peer::Client::exchangeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults>(
+      0xabe3c4ae06416546ull, 0, sizeHint);
+}
+::kj::Promise<void> Peer::Server::exchange(ExchangeContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "exchange",
+      0xabe3c4ae06416546ull, 0);
+}
+::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
+    uint64_t interfaceId, uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (interfaceId) {
+    case 0xabe3c4ae06416546ull:
+      return dispatchCallInternal(methodId, context);
+    default:
+      return internalUnimplemented("peer.capnp:Peer", interfaceId);
+  }
+}
+::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCallInternal(
+    uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (methodId) {
+    case 0:
+      return {
+        exchange(::capnp::Capability::Server::internalGetTypedContext<
+             ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults>(context)),
+        false
+      };
+    default:
+      (void)context;
+      return ::capnp::Capability::Server::internalUnimplemented(
+          "peer.capnp:Peer",
+          0xabe3c4ae06416546ull, methodId);
+  }
+}
+#endif  // !CAPNP_LITE
+
+// Peer
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ExchangeParams
+constexpr uint16_t Peer::ExchangeParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ExchangeParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ExchangeParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ExchangeParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ExchangeResults
+constexpr uint16_t Peer::ExchangeResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ExchangeResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ExchangeResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ExchangeResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -42,6 +42,12 @@
 CAPNP_DECLARE_SCHEMA(e58feba1bc65ed6f);
 CAPNP_DECLARE_SCHEMA(87735d68f28ee6c7);
 CAPNP_DECLARE_SCHEMA(f460b4cc987fa4f5);
+CAPNP_DECLARE_SCHEMA(88445ca53c02dd47);
+CAPNP_DECLARE_SCHEMA(f31ae7a43dfd2932);
+CAPNP_DECLARE_SCHEMA(962558a1e02a3998);
+CAPNP_DECLARE_SCHEMA(abe3c4ae06416546);
+CAPNP_DECLARE_SCHEMA(f44894af751ea554);
+CAPNP_DECLARE_SCHEMA(f37033b9a95f8629);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -418,6 +424,100 @@
   };
 };
 
+struct GroupCopy {
+  GroupCopy() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88445ca53c02dd47, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PrimaryReport {
+  PrimaryReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f31ae7a43dfd2932, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerReport {
+  PeerReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(962558a1e02a3998, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer {
+  Peer() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct ExchangeParams;
+  struct ExchangeResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(abe3c4ae06416546)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct Peer::ExchangeParams {
+  ExchangeParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f44894af751ea554, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ExchangeResults {
+  ExchangeResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f37033b9a95f8629, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Report::Reader {
@@ -2600,166 +2700,702 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint64_t Report::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Report::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+class GroupCopy::Reader {
+public:
+  typedef GroupCopy Reads;
 
-inline  ::uint64_t Report::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Report::Builder::getPosition() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Report::Reader::getLastEntryTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Report::Builder::getLastEntryTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setLastEntryTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getVersion() const;
 
-inline bool Report::Reader::getIsPrimary() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
+  inline bool getFull() const;
 
-inline bool Report::Builder::getIsPrimary() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setIsPrimary(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
-inline  ::int64_t Report::Reader::getAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::int64_t Report::Builder::getAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+class GroupCopy::Builder {
+public:
+  typedef GroupCopy Builds;
 
-inline  ::uint8_t AttemptRequest::Reader::getOperation() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint8_t AttemptRequest::Builder::getOperation() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AttemptRequest::Builder::setOperation( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline bool AttemptRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AttemptRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AttemptRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-inline bool AttemptRequest::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool AttemptRequest::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AttemptRequest::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AttemptRequest::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void AttemptRequest::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AttemptRequest::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void AttemptRequest::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool getFull();
+  inline void setFull(bool value);
 
-inline  ::uint64_t AttemptRequest::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool hasItems();
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownItems();
 
-inline  ::uint64_t AttemptRequest::Builder::getTerm() {
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupCopy::Pipeline {
+public:
+  typedef GroupCopy Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PrimaryReport::Reader {
+public:
+  typedef PrimaryReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::int64_t getReplyAgeMs() const;
+
+  inline  ::int64_t getFailingAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PrimaryReport::Builder {
+public:
+  typedef PrimaryReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::int64_t getReplyAgeMs();
+  inline void setReplyAgeMs( ::int64_t value);
+
+  inline  ::int64_t getFailingAgeMs();
+  inline void setFailingAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PrimaryReport::Pipeline {
+public:
+  typedef PrimaryReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerReport::Reader {
+public:
+  typedef PeerReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getVersions() const;
+
+  inline  ::uint64_t getObeyedRecords() const;
+
+  inline  ::int64_t getConfirmedAgeMs() const;
+
+  inline bool getPromise() const;
+
+  inline bool hasPrimaries() const;
+  inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader getPrimaries() const;
+
+  inline bool hasCopies() const;
+  inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerReport::Builder {
+public:
+  typedef PeerReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownVersions();
+
+  inline  ::uint64_t getObeyedRecords();
+  inline void setObeyedRecords( ::uint64_t value);
+
+  inline  ::int64_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::int64_t value);
+
+  inline bool getPromise();
+  inline void setPromise(bool value);
+
+  inline bool hasPrimaries();
+  inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder getPrimaries();
+  inline void setPrimaries( ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder initPrimaries(unsigned int size);
+  inline void adoptPrimaries(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>> disownPrimaries();
+
+  inline bool hasCopies();
+  inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder getCopies();
+  inline void setCopies( ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder initCopies(unsigned int size);
+  inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>> disownCopies();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerReport::Pipeline {
+public:
+  typedef PeerReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::pistachiowood::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::pistachiowood::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+
+  inline  ::pistachiowood::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pistachiowood::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Report::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getLastEntryTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getLastEntryTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setLastEntryTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::getIsPrimary() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getIsPrimary() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setIsPrimary(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Report::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Report::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AttemptRequest::Reader::getOperation() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AttemptRequest::Builder::getOperation() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptRequest::Builder::setOperation( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AttemptRequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AttemptRequest::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AttemptRequest::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AttemptRequest::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AttemptRequest::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AttemptRequest::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AttemptRequest::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AttemptRequest::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptRequest::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptRequest::Builder::getTerm() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
@@ -4290,223 +4926,665 @@
 inline  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline Control::FetchConfigurationResults::Pipeline::getSnapshot() {
   return  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void Control::FetchConfigurationResults::Builder::setSnapshot( ::pistachiowood::wire::ConfigurationSnapshot::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::set(_builder.getPointerField(
+#endif  // !CAPNP_LITE
+inline void Control::FetchConfigurationResults::Builder::setSnapshot( ::pistachiowood::wire::ConfigurationSnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::FetchConfigurationResults::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot> Control::FetchConfigurationResults::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::FetchStatusesParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::FetchStatusesParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::FetchStatusesParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::FetchStatusesParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::FetchStatusesParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::FetchStatusesParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::FetchStatusesResults::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::FetchStatusesResults::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::FetchStatusesResults::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::FetchStatusesResults::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::FetchStatusesResults::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::AnnounceStatusesParams::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::AnnounceStatusesParams::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::AnnounceStatusesParams::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::AnnounceStatusesParams::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::AnnounceStatusesParams::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::AnnounceStatusesParams::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ConfirmReachableParams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ConfirmReachableParams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ConfirmReachableParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::ConfirmReachableParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ConfirmReachableParams::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ConfirmReachableParams::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::ConfirmReachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::ConfirmReachableParams::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ConfirmReachableResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::ConfirmReachableResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::ConfirmReachableResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::ConfirmReachableResults::Reader::getReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::ConfirmReachableResults::Builder::getReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Control::ConfirmReachableResults::Builder::setReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupCopy::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupCopy::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupCopy::Reader::getFull() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool GroupCopy::Builder::getFull() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setFull(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupCopy::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupCopy::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GroupCopy::Builder::setItems( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::FetchConfigurationResults::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::adopt(_builder.getPointerField(
+inline void GroupCopy::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot> Control::FetchConfigurationResults::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::FetchStatusesParams::Reader::hasService() const {
+inline bool PrimaryReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::FetchStatusesParams::Builder::hasService() {
+inline bool PrimaryReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::FetchStatusesParams::Reader::getService() const {
+inline  ::capnp::Text::Reader PrimaryReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::getService() {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::FetchStatusesParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void PrimaryReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::FetchStatusesParams::Builder::adoptService(
+inline void PrimaryReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::FetchStatusesParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
+inline bool PrimaryReport::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::FetchStatusesResults::Builder::hasStatuses() {
+inline bool PrimaryReport::Builder::hasEndpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::FetchStatusesResults::Reader::getStatuses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PrimaryReport::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::getStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PrimaryReport::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Control::FetchStatusesResults::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PrimaryReport::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::initStatuses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder PrimaryReport::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Control::FetchStatusesResults::Builder::adoptStatuses(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PrimaryReport::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::FetchStatusesResults::Builder::disownStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Control::AnnounceStatusesParams::Reader::hasStatuses() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Control::AnnounceStatusesParams::Builder::hasStatuses() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::AnnounceStatusesParams::Reader::getStatuses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::int64_t PrimaryReport::Reader::getReplyAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::getStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t PrimaryReport::Builder::getReplyAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Control::AnnounceStatusesParams::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PrimaryReport::Builder::setReplyAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::initStatuses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t PrimaryReport::Reader::getFailingAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Control::AnnounceStatusesParams::Builder::adoptStatuses(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t PrimaryReport::Builder::getFailingAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::AnnounceStatusesParams::Builder::disownStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PrimaryReport::Builder::setFailingAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::ConfirmReachableParams::Reader::hasService() const {
+inline bool PeerReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmReachableParams::Builder::hasService() {
+inline bool PeerReport::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getService() const {
+inline  ::capnp::Text::Reader PeerReport::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getService() {
+inline  ::capnp::Text::Builder PeerReport::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmReachableParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void PeerReport::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder PeerReport::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmReachableParams::Builder::adoptService(
+inline void PeerReport::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmReachableParams::Reader::hasEndpoint() const {
+inline bool PeerReport::Reader::hasVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmReachableParams::Builder::hasEndpoint() {
+inline bool PeerReport::Builder::hasVersions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmReachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void PeerReport::Builder::setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void PeerReport::Builder::setVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmReachableParams::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void PeerReport::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmReachableResults::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t PeerReport::Reader::getObeyedRecords() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmReachableResults::Builder::getKnown() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t PeerReport::Builder::getObeyedRecords() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmReachableResults::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
+inline void PeerReport::Builder::setObeyedRecords( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::ConfirmReachableResults::Reader::getReachable() const {
-  return _reader.getDataField<bool>(
+inline  ::int64_t PeerReport::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmReachableResults::Builder::getReachable() {
-  return _builder.getDataField<bool>(
+inline  ::int64_t PeerReport::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmReachableResults::Builder::setReachable(bool value) {
-  _builder.setDataField<bool>(
+inline void PeerReport::Builder::setConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getPromise() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getPromise() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setPromise(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasPrimaries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasPrimaries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setPrimaries( ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasCopies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasCopies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getCopies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setCopies( ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initCopies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptCopies(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Peer::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::pistachiowood::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::pistachiowood::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Peer::ExchangeParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ExchangeParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pistachiowood::wire::PeerReport::Reader Peer::ExchangeParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pistachiowood::wire::PeerReport::Builder Peer::ExchangeParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::PeerReport::Pipeline Peer::ExchangeParams::Pipeline::getReport() {
+  return  ::pistachiowood::wire::PeerReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ExchangeParams::Builder::setReport( ::pistachiowood::wire::PeerReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pistachiowood::wire::PeerReport::Builder Peer::ExchangeParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ExchangeParams::Builder::adoptReport(
+    ::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> Peer::ExchangeParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ExchangeResults::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ExchangeResults::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pistachiowood::wire::PeerReport::Reader Peer::ExchangeResults::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pistachiowood::wire::PeerReport::Builder Peer::ExchangeResults::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::PeerReport::Pipeline Peer::ExchangeResults::Pipeline::getReport() {
+  return  ::pistachiowood::wire::PeerReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ExchangeResults::Builder::setReport( ::pistachiowood::wire::PeerReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pistachiowood::wire::PeerReport::Builder Peer::ExchangeResults::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ExchangeResults::Builder::adoptReport(
+    ::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> Peer::ExchangeResults::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::PeerReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/src/rpc/peer_rpc.cpp
@@ -0,0 +1,166 @@
+#include "rpc/peer_rpc.h"
+
+#include "rpc/control_wire.h"
+#include "rpc/loop_calls.h"
+#include "rpc/rpc_host.h"
+
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr std::int64_t neverMs = -1;
+
+std::int64_t encodeAge(const std::optional<Milliseconds> &age)
+{
+    return age ? age->count() : neverMs;
+}
+
+std::optional<Milliseconds> decodeAge(std::int64_t milliseconds)
+{
+    if (milliseconds < 0)
+        return std::nullopt;
+    return Milliseconds(milliseconds);
+}
+
+void encodeCopy(const GroupCopy &copy, wire::GroupCopy::Builder builder)
+{
+    builder.setVersion(copy.snapshot.version.value());
+    builder.setFull(true);
+    auto items = builder.initItems(static_cast<unsigned>(copy.snapshot.items.size()));
+    for (unsigned i = 0; i < items.size(); ++i) {
+        const StoredItem &item = copy.snapshot.items.at(i);
+        items[i].setName(wireText(item.name));
+        items[i].setVersion(item.version.value());
+        items[i].setJson(wireText(item.text));
+    }
+}
+
+GroupSnapshot decodeCopy(wire::GroupCopy::Reader reader)
+{
+    GroupSnapshot snapshot{ResourceVersion(reader.getVersion()), {}};
+    for (const auto item : reader.getItems()) {
+        snapshot.items.push_back({plainText(item.getName()), ResourceVersion(item.getVersion()),
+                                  plainText(item.getJson())});
+    }
+    return snapshot;
+}
+
+void encodeReport(const PeerReport &report, wire::PeerReport::Builder builder)
+{
+    builder.setVm(wireText(report.vm.value()));
+    auto versions = builder.initVersions(objectGroupCount);
+    for (unsigned i = 0; i < objectGroupCount; ++i)
+        versions.set(i, report.versions.at(i).value());
+    builder.setObeyedRecords(report.obeyedRecords.value());
+    builder.setConfirmedAgeMs(encodeAge(report.confirmedAge));
+    builder.setPromise(report.promise);
+    auto primaries = builder.initPrimaries(static_cast<unsigned>(report.primaries.size()));
+    for (unsigned i = 0; i < primaries.size(); ++i) {
+        const PrimaryReport &primary = report.primaries.at(i);
+        primaries[i].setService(wireText(primary.service.value()));
+        primaries[i].setEndpoint(wireText(primary.endpoint.value()));
+        primaries[i].setReplyAgeMs(encodeAge(primary.replyAge));
+        primaries[i].setFailingAgeMs(encodeAge(primary.failingAge));
+    }
+    // A copy that the receiver does not need keeps its place as an empty entry.
+    auto copies = builder.initCopies(objectGroupCount);
+    for (const GroupCopy &copy : report.copies)
+        encodeCopy(copy, copies[static_cast<unsigned>(copy.group)]);
+}
+
+PeerReport decodeReport(wire::PeerReport::Reader reader)
+{
+    PeerReport report;
+    report.vm = VmId(plainText(reader.getVm()));
+    const auto versions = reader.getVersions();
+    for (unsigned i = 0; i < versions.size() && i < objectGroupCount; ++i)
+        report.versions.at(i) = ResourceVersion(versions[i]);
+    report.obeyedRecords = ResourceVersion(reader.getObeyedRecords());
+    report.confirmedAge = decodeAge(reader.getConfirmedAgeMs());
+    report.promise = reader.getPromise();
+    for (const auto primary : reader.getPrimaries()) {
+        report.primaries.push_back({ServiceName(plainText(primary.getService())),
+                                    EndpointId(plainText(primary.getEndpoint())),
+                                    decodeAge(primary.getReplyAgeMs()),
+                                    decodeAge(primary.getFailingAgeMs())});
+    }
+    const auto copies = reader.getCopies();
+    for (unsigned i = 0; i < copies.size() && i < objectGroupCount; ++i) {
+        if (copies[i].getFull())
+            report.copies.push_back({static_cast<ObjectGroup>(i), decodeCopy(copies[i])});
+    }
+    return report;
+}
+
+class PeerServer final : public wire::Peer::Server
+{
+public:
+    PeerServer(EventLoop &loop, const PeerRpc::Handler &handler,
+               std::function<void(RpcHost::Task)> post)
+        : handler_(handler)
+        , caller_(loop, std::move(post))
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        return caller_
+            .call<PeerReport>([this, report = decodeReport(context.getParams().getReport())] {
+                return handler_(report);
+            })
+            .then([context](const PeerReport &answer) mutable {
+                encodeReport(answer, context.getResults().initReport());
+            });
+    }
+
+private:
+    const PeerRpc::Handler &handler_;
+    LoopCaller caller_;
+};
+
+} // namespace
+
+struct PeerRpc::Private
+{
+    EventLoop &loop;
+    Handler handler;
+    RpcHost host;
+};
+
+PeerRpc::PeerRpc(EventLoop &loop, Handler handler)
+    : private_(new Private{loop, std::move(handler), {}})
+{
+}
+
+PeerRpc::~PeerRpc() = default;
+
+Result<void> PeerRpc::listen(const SocketAddress &address)
+{
+    return private_->host.listen(
+        address, ConnectionClass::ControlRpc, [this]() -> capnp::Capability::Client {
+            return wire::Peer::Client(kj::heap<PeerServer>(private_->loop, private_->handler,
+                                                           private_->host.poster()));
+        });
+}
+
+std::uint16_t PeerRpc::port() const
+{
+    return private_->host.port();
+}
+
+void PeerRpc::exchange(const SocketAddress &peer, const PeerReport &report, Milliseconds timeout,
+                       Callback callback)
+{
+    const auto call = [report](wire::Peer::Client client) {
+        auto request = client.exchangeRequest();
+        encodeReport(report, request.initReport());
+        return request.send().then(
+            [](auto &&response) { return decodeReport(response.getReport()); });
+    };
+    callPeer<wire::Peer, PeerReport>(private_->host, private_->loop, peer, timeout, call,
+                                     std::move(callback));
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/rpc/peer_rpc.h
@@ -0,0 +1,35 @@
+#ifndef PISTACHIOWOOD_RPC_PEER_RPC_H
+#define PISTACHIOWOOD_RPC_PEER_RPC_H
+
+#include "net/event_loop.h"
+#include "takeover/peer_report.h"
+
+#include <functional>
+#include <memory>
+
+namespace pistachiowood {
+
+/// Exchanges reports between daemons over Cap'n Proto RPC. Callbacks and the handler run in the
+/// loop's thread.
+class PeerRpc final : public PeerChannel
+{
+public:
+    using Handler = std::function<PeerReport(const PeerReport &)>;
+
+    PeerRpc(EventLoop &loop, Handler handler);
+    ~PeerRpc() override;
+
+    Result<void> listen(const SocketAddress &address);
+    std::uint16_t port() const;
+
+    void exchange(const SocketAddress &peer, const PeerReport &report, Milliseconds timeout,
+                  Callback callback) override;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> private_;
+};
+
+} // namespace pistachiowood
+
+#endif
