--- /dev/null
+++ b/src/takeover/fleet_control.cpp
@@ -0,0 +1,679 @@
+#include "takeover/fleet_control.h"
+
+#include "base/log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr Milliseconds tickPeriod{50};
+// An empty watch of the records confirms the permission; its period stays well below the
+// permission's. Configuration and endpoints only need to notice a silent connection in time.
+constexpr Milliseconds recordsWatchPeriod{800};
+constexpr Milliseconds objectsWatchPeriod{2000};
+// Age of the confirmation at which the peers are asked although no call has failed.
+constexpr Milliseconds confirmationAgeLimit{1900};
+constexpr Milliseconds exchangeInterval{300};
+constexpr Milliseconds exchangeTimeout{600};
+constexpr Milliseconds recordTimeout{1500}; // of a change of a record
+constexpr Milliseconds promotionTimeout{1500};
+constexpr Milliseconds surveyTimeout{700};
+constexpr Milliseconds demotionTimeout{700};
+// A change without an answer may be executed up to six seconds later.
+constexpr Milliseconds lateExecution{8000};
+// A daemon that has just joined is unknown to daemons that are cut off from the store.
+constexpr Milliseconds newcomerDelay{5000};
+constexpr Milliseconds reportLifetime{1000}; // after which a peer's evidence no longer counts
+constexpr Milliseconds reachedLately{700}; // primaries are probed every 500 ms
+constexpr Milliseconds failingLately{400};
+// Entries that expired during an outage of the store are back two seconds after its end.
+constexpr Milliseconds registrationsSettle{2500};
+constexpr Milliseconds createDelay{300}; // between daemons that create a service's first record
+constexpr Milliseconds viewDelay{2}; // merges changes that come together
+
+std::size_t indexOf(ObjectGroup group)
+{
+    return static_cast<std::size_t>(group);
+}
+
+} // namespace
+
+FleetControl::FleetControl(EventLoop &loop, const Clock &clock, RandomSource &random,
+                           FleetSettings settings, PlatformStore &store,
+                           PromotionService &promotions, PeerChannel &peers, TrafficPort &traffic)
+    : loop_(loop)
+    , clock_(clock)
+    , random_(random)
+    , settings_(std::move(settings))
+    , store_(store)
+    , promotions_(promotions)
+    , peers_(peers)
+    , traffic_(traffic)
+    , duty_(settings_.vm)
+{
+    const auto makeFeed = [&](ObjectGroup group, Milliseconds period, GroupFeed::Handlers handlers) {
+        feeds_.at(indexOf(group)) = std::make_unique<GroupFeed>(loop_, clock_, random_, store_,
+                                                                group, period, std::move(handlers));
+    };
+    makeFeed(ObjectGroup::Configuration, objectsWatchPeriod,
+             {[this] { handleConfiguration(); }, [](TimePoint) {}});
+    makeFeed(ObjectGroup::Endpoints, objectsWatchPeriod,
+             {[this] { handleEndpoints(); }, [](TimePoint) {}});
+    makeFeed(ObjectGroup::Records, recordsWatchPeriod,
+             {[this] { handleRecords(); }, [this](TimePoint at) { confirmRecords(at); }});
+}
+
+FleetControl::~FleetControl()
+{
+    *alive_ = false;
+}
+
+void FleetControl::start()
+{
+    for (const auto &feed : feeds_)
+        feed->start();
+    tick();
+}
+
+void FleetControl::leave()
+{
+    leaving_ = true;
+    if (registered_) {
+        store_.deleteRecord(memberRecordName(settings_.vm), recordTimeout, [](const auto &outcome) {
+            if (std::holds_alternative<StoreFailure>(outcome))
+                logEvent(Event::MemberLeaving, {{"result", "the member record remains"}});
+        });
+    }
+}
+
+bool FleetControl::ready() const
+{
+    return configuration_ && !endpoints_.empty();
+}
+
+void FleetControl::handleConfiguration()
+{
+    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Configuration))->items()) {
+        const auto decoded = capture([&] { return store_.decodeConfiguration(item); });
+        if (const auto *error = std::get_if<Error>(&decoded)) {
+            logEvent(Event::ObjectInvalid, {{"name", name}, {"reason", error->message}});
+            continue;
+        }
+        const auto &configuration = std::get<DeploymentConfiguration>(decoded);
+        if (configuration_ && configuration.version <= configuration_->version)
+            continue;
+        configuration_ = configuration;
+        logEvent(Event::ConfigurationApplied, {{"version", configuration.version}});
+        scheduleView();
+    }
+}
+
+void FleetControl::handleEndpoints()
+{
+    std::map<EndpointId, EndpointEntry> endpoints;
+    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Endpoints))->items()) {
+        const auto decoded = capture([&] { return store_.decodeEndpoint(item); });
+        if (const auto *error = std::get_if<Error>(&decoded)) {
+            logEvent(Event::ObjectRefused, {{"name", name}, {"reason", error->message}});
+            continue;
+        }
+        const auto &entry = std::get<EndpointEntry>(decoded);
+        endpoints.emplace(entry.id, entry);
+    }
+    endpoints_ = std::move(endpoints);
+    scheduleView();
+}
+
+void FleetControl::handleRecords()
+{
+    const TimePoint now = clock_.now();
+    std::map<VmId, SocketAddress> members;
+    registered_ = false;
+    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Records))->items()) {
+        const RecordKind kind = recordKindOf(name);
+        if (kind == RecordKind::Member) {
+            const auto decoded = capture([&] { return decodeMemberRecord(item.text); });
+            const auto *member = std::get_if<MemberRecord>(&decoded);
+            if (!member)
+                continue;
+            if (member->vm == settings_.vm)
+                registered_ = member->address == settings_.peerAddress;
+            else
+                members.emplace(member->vm, member->address);
+        } else if (kind == RecordKind::Duty) {
+            const auto decoded = capture([&] { return decodeDutyRecord(item.text); });
+            if (const auto *duty = std::get_if<DutyRecord>(&decoded))
+                duty_.observe(*duty, item.version, now);
+        } else if (kind == RecordKind::Service) {
+            const auto decoded = capture([&] { return decodeServiceRecord(item.text); });
+            const auto *record = std::get_if<ServiceRecord>(&decoded);
+            if (!record)
+                continue;
+            ServiceState &state = services_[record->service];
+            if (item.version <= state.recordVersion)
+                continue;
+            state.record = *record;
+            state.recordVersion = item.version;
+            state.recordSince = now;
+            logEvent(record->replacing ? Event::PromotionStarted : Event::PrimaryAdopted,
+                     {{"service", record->service.value()},
+                      {"primary", record->primary.value()},
+                      {"by", record->changedBy.value()},
+                      {"version", item.version.value()}});
+        }
+    }
+    members_ = std::move(members);
+    std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
+    scheduleView();
+}
+
+void FleetControl::confirmRecords(TimePoint at)
+{
+    permission_.confirm(at);
+    // A view with the newest records must reach the traffic thread before the permission does.
+    if (viewScheduled_)
+        publishView();
+    const auto expiry = permission_.expiresAt();
+    if (expiry && expiry != sentPermission_) {
+        sentPermission_ = expiry;
+        traffic_.permitPrimaries(*expiry);
+    }
+}
+
+void FleetControl::scheduleView()
+{
+    if (std::exchange(viewScheduled_, true))
+        return;
+    loop_.startTimer(viewDelay, [this, alive = alive_] {
+        if (*alive && viewScheduled_)
+            publishView();
+    });
+}
+
+unsigned FleetControl::distanceTo(const ZoneName &zone) const
+{
+    if (zone == settings_.zone)
+        return 0;
+    const auto region = settings_.regions.find(zone);
+    return region != settings_.regions.end() && region->second == settings_.region ? 1 : 2;
+}
+
+void FleetControl::publishView()
+{
+    viewScheduled_ = false;
+    if (!configuration_)
+        return;
+    auto view = std::make_shared<DeploymentView>();
+    view->configurationVersion = configuration_->version;
+    view->recordsVersion = feeds_.at(indexOf(ObjectGroup::Records))->version().value();
+    view->transactionIdle = configuration_->transactionIdle;
+    view->daemons = static_cast<unsigned>(members_.size() + 1);
+    for (const DatabaseRoute &route : configuration_->routes)
+        view->routes.emplace(route.database, route);
+    for (const ServiceLimits &limits : configuration_->services) {
+        ServiceView &service = view->services[limits.name];
+        service.name = limits.name;
+        service.maxConnections = limits.maxConnections;
+        if (const auto state = services_.find(limits.name);
+            state != services_.end() && state->second.record) {
+            service.replacing = state->second.record->replacing;
+            if (!service.replacing)
+                service.primary = state->second.record->primary;
+            service.primaryEpoch = state->second.recordVersion.value();
+        }
+    }
+    for (const auto &[id, entry] : endpoints_) {
+        const auto service = view->services.find(entry.service);
+        if (service == view->services.end())
+            continue;
+        service->second.endpoints.push_back(
+            {id, entry.address, entry.slots, entry.draining, distanceTo(entry.zone)});
+    }
+    traffic_.setView(view, [this, alive = alive_, version = view->recordsVersion] {
+        if (*alive)
+            obeyedRecords_ = std::max(obeyedRecords_, ResourceVersion(version));
+    });
+}
+
+void FleetControl::handleEvidence(std::vector<PrimaryEvidence> evidence)
+{
+    evidence_.clear();
+    for (PrimaryEvidence &entry : evidence)
+        evidence_[entry.service] = std::move(entry);
+}
+
+const PrimaryEvidence *FleetControl::ownEvidence(const ServiceName &service) const
+{
+    const auto found = evidence_.find(service);
+    return found == evidence_.end() ? nullptr : &found->second;
+}
+
+void FleetControl::tick()
+{
+    const TimePoint now = clock_.now();
+    if (!leaving_) {
+        registerSelf();
+        tickPeers(now);
+        if (configuration_ && feeds_.at(indexOf(ObjectGroup::Records))->loaded()) {
+            for (const ServiceLimits &service : configuration_->services)
+                tickService(service, services_[service.name]);
+        }
+    }
+    loop_.startTimer(tickPeriod, [this, alive = alive_] {
+        if (*alive)
+            tick();
+    });
+}
+
+void FleetControl::registerSelf()
+{
+    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    if (registered_ || registering_ || !records.loaded() || records.failing())
+        return;
+    registering_ = true;
+    const std::string name = memberRecordName(settings_.vm);
+    const auto known = records.items().find(name);
+    std::optional<ResourceVersion> expected;
+    if (known != records.items().end())
+        expected = known->second.version;
+    else
+        registeredAt_ = clock_.now();
+    const std::string text = encodeMemberRecord({settings_.vm, settings_.peerAddress});
+    store_.putRecord(name, expected, text, recordTimeout,
+                     [this, alive = alive_, name, text](const auto &outcome) {
+                         if (!*alive)
+                             return;
+                         registering_ = false;
+                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                             feeds_.at(indexOf(ObjectGroup::Records))
+                                 ->takeOwnChange({name, *version, text});
+                         }
+                     });
+}
+
+void FleetControl::tickPeers(TimePoint now)
+{
+    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    const auto confirmed = permission_.confirmedAt();
+    const bool old = !confirmed || now - *confirmed > confirmationAgeLimit;
+    if (!records.failing() && !(old && records.loaded()))
+        return;
+    if (now - lastExchange_ < exchangeInterval)
+        return;
+    exchangeWithAll(true);
+}
+
+void FleetControl::exchangeWithAll(bool wantPromise)
+{
+    lastExchange_ = clock_.now();
+    auto round = std::make_shared<PromiseRound>();
+    round->startedAt = lastExchange_;
+    round->asked = members_.size();
+    for (const auto &[vm, address] : members_)
+        exchangeWith(vm, address, wantPromise, round);
+    if (!members_.empty())
+        return;
+    for (const SocketAddress &seed : settings_.seeds) {
+        if (seed != settings_.peerAddress)
+            exchangeWith(VmId(), seed, false, nullptr);
+    }
+}
+
+void FleetControl::exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
+                                std::shared_ptr<PromiseRound> round)
+{
+    PeerState &state = peerStates_[vm];
+    if (!vm.value().empty() && std::exchange(state.exchanging, true))
+        return;
+    PeerReport report = makeReport();
+    report.promise = wantPromise;
+    if (state.report)
+        report.copies = copiesFor(*state.report);
+    const TimePoint sentAt = clock_.now();
+    peers_.exchange(address, report, exchangeTimeout,
+                    [this, alive = alive_, vm, sentAt, round](const auto &outcome) {
+                        if (!*alive)
+                            return;
+                        if (const auto known = peerStates_.find(vm); known != peerStates_.end())
+                            known->second.exchanging = false;
+                        const auto *answer = std::get_if<PeerReport>(&outcome);
+                        if (!answer)
+                            return;
+                        takeReport(*answer, sentAt, true);
+                        if (!round || !answer->promise || ++round->promised < round->asked)
+                            return;
+                        // No daemon reaches the store, and none will announce a replacement for
+                        // the period of a permission.
+                        const TimePoint now = clock_.now();
+                        if (mayPromise(now)) {
+                            promisedUntil_ = now + PrimaryPermission::period;
+                            confirmRecords(round->startedAt);
+                        }
+                    });
+}
+
+PeerReport FleetControl::makeReport() const
+{
+    const TimePoint now = clock_.now();
+    PeerReport report;
+    report.vm = settings_.vm;
+    for (std::size_t i = 0; i < objectGroupCount; ++i)
+        report.versions.at(i) = feeds_.at(i)->version();
+    report.obeyedRecords = obeyedRecords_;
+    if (const auto confirmed = permission_.confirmedAt())
+        report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
+    for (const auto &[service, evidence] : evidence_) {
+        PrimaryReport primary{service, evidence.endpoint, std::nullopt, std::nullopt};
+        if (evidence.lastReply)
+            primary.replyAge = std::chrono::duration_cast<Milliseconds>(now - *evidence.lastReply);
+        if (evidence.failingSince)
+            primary.failingAge
+                = std::chrono::duration_cast<Milliseconds>(now - *evidence.failingSince);
+        report.primaries.push_back(std::move(primary));
+    }
+    return report;
+}
+
+std::vector<GroupCopy> FleetControl::copiesFor(const PeerReport &peer) const
+{
+    std::vector<GroupCopy> copies;
+    for (std::size_t i = 0; i < objectGroupCount; ++i) {
+        const auto &feed = *feeds_.at(i);
+        if (feed.loaded() && feed.version() > peer.versions.at(i))
+            copies.push_back({static_cast<ObjectGroup>(i), feed.snapshot()});
+    }
+    return copies;
+}
+
+void FleetControl::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
+{
+    for (const GroupCopy &copy : report.copies)
+        feeds_.at(indexOf(copy.group))->takeSnapshot(copy.snapshot);
+    if (report.vm != settings_.vm && members_.count(report.vm) > 0) {
+        PeerState &state = peerStates_[report.vm];
+        state.report = report;
+        state.report->copies.clear();
+        state.receivedAt = clock_.now();
+    }
+    // The sender's confirmation covers this daemon only if its records are as new.
+    const std::size_t records = indexOf(ObjectGroup::Records);
+    if (answer && report.confirmedAge && feeds_.at(records)->version() >= report.versions.at(records))
+        confirmRecords(sentAt - *report.confirmedAge);
+}
+
+bool FleetControl::mayPromise(TimePoint now) const
+{
+    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    return records.failing() && now >= announcementUncertainUntil_;
+}
+
+PeerReport FleetControl::handlePeerReport(const PeerReport &report)
+{
+    takeReport(report, clock_.now(), false);
+    PeerReport answer = makeReport();
+    answer.copies = copiesFor(report);
+    const TimePoint now = clock_.now();
+    if (report.promise && mayPromise(now)) {
+        answer.promise = true;
+        promisedUntil_ = now + PrimaryPermission::period;
+    }
+    return answer;
+}
+
+unsigned FleetControl::rankFor(const ServiceName &service) const
+{
+    const auto weight = [&](const VmId &vm) {
+        const std::string key = service.value() + "/" + vm.value();
+        return XXH64(key.data(), key.size(), 0);
+    };
+    const auto own = weight(settings_.vm);
+    return static_cast<unsigned>(
+        std::count_if(members_.begin(), members_.end(),
+                      [&](const auto &member) { return weight(member.first) < own; }));
+}
+
+void FleetControl::tickService(const ServiceLimits &service, ServiceState &state)
+{
+    if (!state.record) {
+        createRecord(service, state);
+        return;
+    }
+    if (!state.replacement) {
+        state.replacement = std::make_unique<PrimaryReplacement>(service.name, settings_.vm);
+    }
+    if (const auto command = state.replacement->step(collectInput(service, state)))
+        execute(service.name, *command);
+}
+
+void FleetControl::createRecord(const ServiceLimits &service, ServiceState &state)
+{
+    const TimePoint now = clock_.now();
+    const auto primary = std::find_if(endpoints_.begin(), endpoints_.end(), [&](const auto &entry) {
+        return entry.second.service == service.name && entry.second.primary;
+    });
+    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    if (primary == endpoints_.end() || records.failing() || state.creating) {
+        state.missingSince = now;
+        return;
+    }
+    if (now - state.missingSince < createDelay * rankFor(service.name))
+        return;
+    state.creating = true;
+    const ServiceRecord record{service.name, primary->first, false, settings_.vm, 0};
+    const std::string text = encodeServiceRecord(record);
+    const std::string name = serviceRecordName(service.name);
+    store_.putRecord(name, std::nullopt, text, recordTimeout,
+                     [this, alive = alive_, name, text, service = service.name](
+                         const StoreOutcome<ResourceVersion> &outcome) {
+                         if (!*alive)
+                             return;
+                         services_[service].creating = false;
+                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                             feeds_.at(indexOf(ObjectGroup::Records))
+                                 ->takeOwnChange({name, *version, text});
+                         }
+                     });
+}
+
+bool FleetControl::allWithdrawn(ResourceVersion version) const
+{
+    if (obeyedRecords_ < version)
+        return false;
+    return std::all_of(members_.begin(), members_.end(), [&](const auto &member) {
+        const auto state = peerStates_.find(member.first);
+        return state != peerStates_.end() && state->second.report
+            && state->second.report->obeyedRecords >= version;
+    });
+}
+
+ReplacementInput FleetControl::collectInput(const ServiceLimits &service,
+                                            const ServiceState &state) const
+{
+    const TimePoint now = clock_.now();
+    ReplacementInput input;
+    input.now = now;
+    input.record = state.record;
+    input.recordVersion = state.recordVersion;
+    input.recordSince = state.recordSince;
+    input.syncReplicas = service.syncReplicas;
+    std::map<RegionName, unsigned> regionShares;
+    const auto regionOf = [&](const EndpointEntry &entry) {
+        const auto found = settings_.regions.find(entry.zone);
+        return found == settings_.regions.end() ? RegionName() : found->second;
+    };
+    for (const auto &[id, entry] : endpoints_) {
+        if (entry.service == service.name)
+            ++regionShares[regionOf(entry)];
+    }
+    for (const auto &[id, entry] : endpoints_) {
+        if (entry.service == service.name)
+            input.candidates.push_back({id, entry.draining, regionShares[regionOf(entry)]});
+    }
+    const auto &endpoints = *feeds_.at(indexOf(ObjectGroup::Endpoints));
+    input.registrationsCurrent = !endpoints.failing() && endpoints.healthySince()
+        && now - *endpoints.healthySince() > registrationsSettle;
+    const PrimaryEvidence *own = ownEvidence(service.name);
+    if (own && own->endpoint == state.record->primary)
+        input.primaryFailingSince = own->failingSince;
+    input.peersAsked = static_cast<unsigned>(members_.size());
+    for (const auto &[vm, peer] : peerStates_) {
+        if (!peer.report || now - peer.receivedAt > reportLifetime)
+            continue;
+        for (const PrimaryReport &primary : peer.report->primaries) {
+            if (primary.service != service.name || primary.endpoint != state.record->primary)
+                continue;
+            if (primary.failingAge && *primary.failingAge >= failingLately)
+                ++input.peersFailing;
+            else if (primary.replyAge && *primary.replyAge <= reachedLately)
+                ++input.peersReaching;
+        }
+    }
+    const bool newcomer = registeredAt_ && now - *registeredAt_ < newcomerDelay;
+    input.mayAnnounce = now >= promisedUntil_ && (!newcomer || members_.empty())
+        && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
+    input.dutyHeld = duty_.held(now);
+    input.dutyAvailable
+        = !input.dutyHeld && duty_.available(now) && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
+    input.allWithdrawn = allWithdrawn(state.recordVersion);
+    input.rank = rankFor(service.name);
+    return input;
+}
+
+PrimaryReplacement *FleetControl::replacementOf(const ServiceName &service)
+{
+    return services_[service].replacement.get();
+}
+
+void FleetControl::execute(const ServiceName &service, const ReplacementCommand &command)
+{
+    if (std::holds_alternative<TakeDutyCommand>(command)) {
+        services_[service].waitsForDuty = true;
+        takeDuty();
+    } else if (std::holds_alternative<AskPeersCommand>(command)) {
+        exchangeWithAll(false);
+    } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
+        announcementUncertainUntil_ = clock_.now() + lateExecution;
+        putServiceRecord(announcement->record, services_[service].recordVersion,
+                         [this, service](const StoreOutcome<ResourceVersion> &outcome) {
+                             const auto *version = std::get_if<ResourceVersion>(&outcome);
+                             const auto *failure = std::get_if<StoreFailure>(&outcome);
+                             if (!failure || *failure != StoreFailure::NoAnswer)
+                                 announcementUncertainUntil_ = clock_.now();
+                             replacementOf(service)->handleAnnounced(
+                                 version ? std::optional(*version) : std::nullopt, clock_.now());
+                         });
+    } else if (const auto *surveyed = std::get_if<SurveyCommand>(&command)) {
+        survey(service, surveyed->endpoints);
+    } else if (const auto *demotion = std::get_if<DemoteCommand>(&command)) {
+        traffic_.queryStatus(service, demotion->endpoint,
+                             {.verb = Verb::Demote, .term = demotion->term}, demotionTimeout,
+                             [this, alive = alive_, service](auto status) {
+                                 if (*alive)
+                                     replacementOf(service)->handleDemoted(status, clock_.now());
+                             });
+    } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
+        promote(service, promotion->endpoint);
+    } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
+        putServiceRecord(publication->record, services_[service].recordVersion,
+                         [this, service](const StoreOutcome<ResourceVersion> &outcome) {
+                             const bool published = std::holds_alternative<ResourceVersion>(outcome);
+                             if (published)
+                                 logEvent(Event::PromotionCompleted,
+                                          {{"service", service.value()}});
+                             replacementOf(service)->handlePublished(published, clock_.now());
+                         });
+    }
+}
+
+void FleetControl::takeDuty()
+{
+    if (takingDuty_)
+        return;
+    takingDuty_ = true;
+    const TimePoint sentAt = clock_.now();
+    const DutyRecord record = duty_.propose(sentAt);
+    const std::string text = encodeDutyRecord(record);
+    store_.putRecord(dutyRecordName(), duty_.expectedVersion(), text, recordTimeout,
+                     [this, alive = alive_, record, text,
+                      sentAt](const StoreOutcome<ResourceVersion> &outcome) {
+                         if (!*alive)
+                             return;
+                         takingDuty_ = false;
+                         const TimePoint now = clock_.now();
+                         const auto *version = std::get_if<ResourceVersion>(&outcome);
+                         if (version) {
+                             duty_.accept(record, *version, sentAt, now);
+                             feeds_.at(indexOf(ObjectGroup::Records))
+                                 ->takeOwnChange({dutyRecordName(), *version, text});
+                         }
+                         for (auto &[service, state] : services_) {
+                             if (std::exchange(state.waitsForDuty, false))
+                                 state.replacement->handleDutyTaken(version != nullptr, now);
+                         }
+                     });
+}
+
+void FleetControl::putServiceRecord(const ServiceRecord &record, ResourceVersion expected,
+                                    std::function<void(StoreOutcome<ResourceVersion>)> callback)
+{
+    const std::string name = serviceRecordName(record.service);
+    const std::string text = encodeServiceRecord(record);
+    store_.putRecord(name, expected, text, recordTimeout,
+                     [this, alive = alive_, name, text,
+                      callback](const StoreOutcome<ResourceVersion> &outcome) {
+                         if (!*alive)
+                             return;
+                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                             feeds_.at(indexOf(ObjectGroup::Records))
+                                 ->takeOwnChange({name, *version, text});
+                         }
+                         callback(outcome);
+                     });
+}
+
+void FleetControl::survey(const ServiceName &service, const std::vector<EndpointId> &endpoints)
+{
+    struct Round
+    {
+        std::size_t open = 0;
+        std::map<EndpointId, EndpointStatus> statuses;
+    };
+    auto round = std::make_shared<Round>();
+    round->open = endpoints.size();
+    for (const EndpointId &endpoint : endpoints) {
+        traffic_.queryStatus(service, endpoint, {.verb = Verb::Status}, surveyTimeout,
+                             [this, alive = alive_, service, endpoint, round](auto status) {
+                                 if (!*alive)
+                                     return;
+                                 if (status)
+                                     round->statuses[endpoint] = *status;
+                                 if (--round->open == 0) {
+                                     replacementOf(service)->handleSurvey(round->statuses,
+                                                                          clock_.now());
+                                 }
+                             });
+    }
+}
+
+void FleetControl::promote(const ServiceName &service, const EndpointId &endpoint)
+{
+    const TimePoint now = clock_.now();
+    if (!duty_.held(now)) {
+        replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
+        return;
+    }
+    logEvent(Event::SwitchoverStarted,
+             {{"service", service.value()}, {"endpoint", endpoint.value()}});
+    promotions_.promote(service, endpoint, settings_.vm, duty_.fencingToken(), promotionTimeout,
+                        [this, alive = alive_, service](PromotionOutcome outcome) {
+                            if (*alive)
+                                replacementOf(service)->handlePromoted(outcome, clock_.now());
+                        });
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/takeover/group_feed.cpp
@@ -0,0 +1,174 @@
+#include "takeover/group_feed.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr Milliseconds listTimeout{2000}; // a slow store answers within a few hundred milliseconds
+constexpr Milliseconds answerSlack{700}; // time beyond the wait of a watch until it counts as lost
+// Full jitter below these limits: a store that returns is not met by all daemons at once.
+constexpr Milliseconds firstRetry{100};
+constexpr Milliseconds longestRetry{800};
+
+} // namespace
+
+GroupFeed::GroupFeed(EventLoop &loop, const Clock &clock, RandomSource &random,
+                     PlatformStore &store, ObjectGroup group, Milliseconds watchPeriod,
+                     Handlers handlers)
+    : loop_(loop)
+    , clock_(clock)
+    , random_(random)
+    , store_(store)
+    , group_(group)
+    , watchPeriod_(watchPeriod)
+    , handlers_(std::move(handlers))
+{
+}
+
+GroupFeed::~GroupFeed()
+{
+    *alive_ = false;
+}
+
+void GroupFeed::start()
+{
+    if (listNeeded_)
+        list();
+    else
+        watch();
+}
+
+void GroupFeed::list()
+{
+    const TimePoint sentAt = clock_.now();
+    store_.list(group_, listTimeout, [this, alive = alive_, sentAt](auto outcome) {
+        if (*alive)
+            handleList(sentAt, std::move(outcome));
+    });
+}
+
+void GroupFeed::watch()
+{
+    const TimePoint sentAt = clock_.now();
+    store_.watch(group_, version_, watchPeriod_, watchPeriod_ + answerSlack,
+                 [this, alive = alive_, sentAt](auto outcome) {
+                     if (*alive)
+                         handleChanges(sentAt, std::move(outcome));
+                 });
+}
+
+void GroupFeed::handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome)
+{
+    if (const auto *failure = std::get_if<StoreFailure>(&outcome)) {
+        handleFailure(*failure);
+        return;
+    }
+    handleAnswer();
+    listNeeded_ = false;
+    const bool first = !loaded_;
+    const auto &snapshot = std::get<GroupSnapshot>(outcome);
+    if (takeSnapshot(snapshot) || first)
+        loaded_ = true;
+    if (snapshot.version >= version_)
+        handlers_.confirmed(sentAt);
+    watch();
+}
+
+void GroupFeed::handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome)
+{
+    if (const auto *failure = std::get_if<StoreFailure>(&outcome)) {
+        handleFailure(*failure);
+        return;
+    }
+    handleAnswer();
+    const auto &changes = std::get<GroupChanges>(outcome);
+    if (changes.version >= version_) {
+        bool changed = false;
+        for (const auto &[item, deleted] : changes.changes) {
+            const auto known = items_.find(item.name);
+            if (known != items_.end() && known->second.version >= item.version && !deleted)
+                continue;
+            changed = true;
+            if (deleted)
+                items_.erase(item.name);
+            else
+                items_[item.name] = item;
+        }
+        version_ = changes.version;
+        if (changed)
+            handlers_.changed();
+        handlers_.confirmed(sentAt);
+    }
+    watch();
+}
+
+void GroupFeed::handleAnswer()
+{
+    failures_ = 0;
+    if (!healthySince_)
+        healthySince_ = clock_.now();
+    if (std::exchange(failing_, false))
+        logEvent(Event::PlatformRecovered, {{"group", static_cast<int>(group_)}});
+}
+
+void GroupFeed::handleFailure(StoreFailure failure)
+{
+    if (failure == StoreFailure::HistoryGone) {
+        listNeeded_ = true;
+        list();
+        return;
+    }
+    healthySince_.reset();
+    if (!std::exchange(failing_, true)) {
+        logEvent(Event::PlatformUnavailable,
+                 {{"group", static_cast<int>(group_)}, {"failure", static_cast<int>(failure)}});
+    }
+    retryLater();
+}
+
+void GroupFeed::retryLater()
+{
+    const auto limit = std::min(longestRetry, firstRetry * (1 << std::min(failures_++, 4U)));
+    const auto delay = Milliseconds(random_.below(static_cast<std::uint64_t>(limit.count())) + 1);
+    loop_.startTimer(delay, [this, alive = alive_] {
+        if (*alive)
+            start();
+    });
+}
+
+bool GroupFeed::takeSnapshot(const GroupSnapshot &snapshot)
+{
+    if (snapshot.version <= version_ && loaded_)
+        return false;
+    items_.clear();
+    for (const StoredItem &item : snapshot.items)
+        items_[item.name] = item;
+    version_ = snapshot.version;
+    loaded_ = true;
+    listNeeded_ = false;
+    handlers_.changed();
+    return true;
+}
+
+void GroupFeed::takeOwnChange(const StoredItem &item)
+{
+    auto &known = items_[item.name];
+    if (known.version >= item.version)
+        return;
+    known = item;
+    handlers_.changed();
+}
+
+GroupSnapshot GroupFeed::snapshot() const
+{
+    GroupSnapshot copy{version_, {}};
+    for (const auto &[name, item] : items_)
+        copy.items.push_back(item);
+    return copy;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/takeover/group_feed.h
@@ -0,0 +1,76 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_GROUP_FEED_H
+#define PISTACHIOWOOD_TAKEOVER_GROUP_FEED_H
+
+#include "base/random.h"
+#include "net/event_loop.h"
+#include "takeover/platform_store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pistachiowood {
+
+/// Copy of one group of the platform's objects: one list, then one watch after the other. A copy
+/// from a peer takes its place when it is newer. The version never goes back.
+class GroupFeed
+{
+public:
+    struct Handlers
+    {
+        std::function<void()> changed;
+        /// The copy holds every change made before the time.
+        std::function<void(TimePoint confirmedAt)> confirmed;
+    };
+
+    GroupFeed(EventLoop &loop, const Clock &clock, RandomSource &random, PlatformStore &store,
+              ObjectGroup group, Milliseconds watchPeriod, Handlers handlers);
+    ~GroupFeed();
+
+    void start();
+    /// True if the snapshot was newer than the copy.
+    bool takeSnapshot(const GroupSnapshot &snapshot);
+    /// Adds the result of a change that this daemon made.
+    void takeOwnChange(const StoredItem &item);
+
+    const std::map<std::string, StoredItem> &items() const { return items_; }
+    ResourceVersion version() const { return version_; }
+    GroupSnapshot snapshot() const;
+    /// Whether the last call to the store failed.
+    bool failing() const { return failing_; }
+    /// Time since which the store has answered every call.
+    std::optional<TimePoint> healthySince() const { return healthySince_; }
+    /// True after the first list or snapshot.
+    bool loaded() const { return loaded_; }
+
+private:
+    void list();
+    void watch();
+    void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
+    void handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome);
+    void handleFailure(StoreFailure failure);
+    void handleAnswer();
+    void retryLater();
+
+    EventLoop &loop_;
+    const Clock &clock_;
+    RandomSource &random_;
+    PlatformStore &store_;
+    ObjectGroup group_;
+    Milliseconds watchPeriod_;
+    Handlers handlers_;
+    std::map<std::string, StoredItem> items_;
+    ResourceVersion version_;
+    bool loaded_ = false;
+    bool listNeeded_ = true;
+    bool failing_ = false;
+    unsigned failures_ = 0;
+    std::optional<TimePoint> healthySince_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/takeover/peer_report.h
@@ -0,0 +1,56 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_PEER_REPORT_H
+#define PISTACHIOWOOD_TAKEOVER_PEER_REPORT_H
+
+#include "takeover/platform_store.h"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pistachiowood {
+
+/// Reachability of one primary, as its sender sees it.
+struct PrimaryReport
+{
+    ServiceName service;
+    EndpointId endpoint;
+    std::optional<Milliseconds> replyAge; ///< time since its last reply
+    std::optional<Milliseconds> failingAge; ///< time since it has stopped replying
+};
+
+struct GroupCopy
+{
+    ObjectGroup group = ObjectGroup::Configuration;
+    GroupSnapshot snapshot;
+};
+
+/// What a daemon tells a peer of the platform's objects and of the primaries. The answer holds
+/// copies of the groups of which the asking daemon has an older version.
+struct PeerReport
+{
+    VmId vm;
+    std::array<ResourceVersion, objectGroupCount> versions;
+    ResourceVersion obeyedRecords; ///< version of the records that the sender's traffic obeys
+    std::optional<Milliseconds> confirmedAge; ///< since its records were known to be complete
+    bool promise = false; ///< asked for, or given: no replacement is announced for a while
+    std::vector<PrimaryReport> primaries;
+    std::vector<GroupCopy> copies;
+};
+
+/// Exchanges reports with other daemons; callbacks run in the control thread.
+class PeerChannel
+{
+public:
+    using Callback = std::function<void(std::variant<PeerReport, Error>)>;
+
+    virtual ~PeerChannel() = default;
+    virtual void exchange(const SocketAddress &peer, const PeerReport &report,
+                          Milliseconds timeout, Callback callback)
+        = 0;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/takeover/primary_permission.h
@@ -0,0 +1,50 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_PRIMARY_PERMISSION_H
+#define PISTACHIOWOOD_TAKEOVER_PRIMARY_PERMISSION_H
+
+#include <pistachiowood/clock.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace pistachiowood {
+
+/// Permission of a daemon to use the primaries that it knows. A replacement is announced in the
+/// service records and takes effect only `permissionPeriod` later, so a daemon that knows that no
+/// announcement had been made at some time may use the primaries until that period has passed.
+class PrimaryPermission
+{
+public:
+    /// Period for which knowledge of the records permits the use of a primary. A failover waits
+    /// this long for daemons that cannot be told; a store answer may be this late.
+    static constexpr Milliseconds period{2500};
+    /// Difference that the clocks of two VMs may accumulate in one period, and timer slack.
+    static constexpr Milliseconds margin{100};
+
+    /// The records of this daemon hold every announcement made before the time.
+    void confirm(TimePoint time)
+    {
+        if (!confirmedAt_ || time > *confirmedAt_)
+            confirmedAt_ = time;
+    }
+
+    std::optional<TimePoint> confirmedAt() const { return confirmedAt_; }
+
+    /// Time until which the primaries may be used.
+    std::optional<TimePoint> expiresAt() const
+    {
+        if (!confirmedAt_)
+            return std::nullopt;
+        return *confirmedAt_ + period - margin;
+    }
+
+    /// Time from which a replacement announced at the given time may take effect although some
+    /// daemons have not acknowledged it.
+    static TimePoint effectiveFrom(TimePoint announcedAt) { return announcedAt + period; }
+
+private:
+    std::optional<TimePoint> confirmedAt_;
+};
+
+} // namespace pistachiowood
+
+#endif
--- /dev/null
+++ b/src/takeover/primary_replacement.cpp
@@ -0,0 +1,375 @@
+#include "takeover/primary_replacement.h"
+
+#include "takeover/primary_permission.h"
+
+#include <algorithm>
+
+namespace pistachiowood {
+
+namespace {
+
+// Silence of a primary after which the peers are asked: a busy endpoint answers within a second.
+constexpr Milliseconds failureLimit{800};
+// Time that a missing registration must last: entries come back within two seconds of an outage.
+constexpr Milliseconds missingLimit{300};
+// A replacement that another daemon has left unfinished; longer than a normal one takes.
+constexpr Milliseconds unfinishedLimit{5000};
+// Head start of each daemon before the next in rank acts on the same reason.
+constexpr Milliseconds rankDelay{400};
+constexpr Milliseconds peerQuestionInterval{150};
+constexpr Milliseconds retryDelay{100};
+// Replicas that do not answer the survey by then are left out; a connect time-out is one second.
+constexpr Milliseconds surveyLimit{1200};
+// Wait for a replica to receive the end of a demoted primary's log: replicas are tens of
+// milliseconds behind, and an endpoint that leaves serves for seconds.
+constexpr Milliseconds catchUpLimit{2000};
+// The platform promotes within some hundred milliseconds.
+constexpr Milliseconds promotionLimit{4000};
+
+} // namespace
+
+PrimaryReplacement::PrimaryReplacement(ServiceName service, VmId self)
+    : service_(std::move(service))
+    , self_(std::move(self))
+{
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::step(const ReplacementInput &input)
+{
+    if (pending_ || !input.record || input.now < retryAt_)
+        return std::nullopt;
+    const bool surelyOurs = stage_ == Stage::Watching || stage_ == Stage::TakingDuty
+        || stage_ == Stage::Announcing;
+    if (!surelyOurs && input.recordVersion > announcedVersion_) {
+        reset(input.now); // another daemon has gone on with this service
+        return std::nullopt;
+    }
+    if (!surelyOurs && !input.dutyHeld && stage_ != Stage::Publishing) {
+        if (input.dutyAvailable) {
+            pending_ = true;
+            return TakeDutyCommand{};
+        }
+        reset(input.now);
+        return std::nullopt;
+    }
+    switch (stage_) {
+    case Stage::Watching:
+        return watch(input);
+    case Stage::TakingDuty:
+        return takeDuty(input);
+    case Stage::Announcing:
+        return announce(input);
+    case Stage::Withdrawing:
+        return withdraw(input);
+    case Stage::Surveying:
+    case Stage::Demoting:
+        return survey(input);
+    case Stage::Promoting:
+        return promote(input);
+    case Stage::Verifying:
+        return verify(input);
+    case Stage::Publishing:
+        return publish(input);
+    }
+    return std::nullopt;
+}
+
+PrimaryReplacement::Reason PrimaryReplacement::findReason(const ReplacementInput &input) const
+{
+    if (input.record->replacing)
+        return Reason::Unfinished;
+    const auto primary = std::find_if(
+        input.candidates.begin(), input.candidates.end(),
+        [&](const ReplacementCandidate &candidate) { return candidate.id == input.record->primary; });
+    if (primary == input.candidates.end())
+        return input.registrationsCurrent && !input.candidates.empty() ? Reason::Failed
+                                                                       : Reason::None;
+    if (primary->draining) {
+        const bool successor = std::any_of(
+            input.candidates.begin(), input.candidates.end(),
+            [](const ReplacementCandidate &candidate) { return !candidate.draining; });
+        return successor ? Reason::Planned : Reason::None;
+    }
+    if (!input.primaryFailingSince || input.now - *input.primaryFailingSince < failureLimit)
+        return Reason::None;
+    return Reason::Failed;
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::watch(const ReplacementInput &input)
+{
+    const Reason reason = findReason(input);
+    if (reason != reason_) {
+        reason_ = reason;
+        reasonSince_ = input.now;
+    }
+    if (reason == Reason::None)
+        return std::nullopt;
+    const bool present = std::any_of(
+        input.candidates.begin(), input.candidates.end(),
+        [&](const ReplacementCandidate &candidate) { return candidate.id == input.record->primary; });
+    Milliseconds delay = rankDelay * input.rank;
+    if (reason == Reason::Unfinished && input.record->changedBy != self_)
+        delay += unfinishedLimit;
+    if (reason == Reason::Failed && !present)
+        delay += missingLimit;
+    if (reason == Reason::Failed && present) {
+        // The partition may concern this daemon only: the primary goes if most lost it.
+        const bool answered = input.peersReaching + input.peersFailing >= input.peersAsked;
+        const bool waited = input.now - *reasonSince_ >= peerQuestionInterval * 3;
+        const bool most = input.peersFailing + 1 > input.peersReaching;
+        if (!(answered || waited) || !most)
+            return askPeers(input);
+    }
+    if (input.now - *reasonSince_ < delay)
+        return std::nullopt;
+    enter(Stage::TakingDuty, input.now);
+    return takeDuty(input);
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::takeDuty(const ReplacementInput &input)
+{
+    if (findReason(input) == Reason::None) {
+        reset(input.now);
+        return std::nullopt;
+    }
+    if (input.dutyHeld) {
+        enter(Stage::Announcing, input.now);
+        return announce(input);
+    }
+    if (!input.dutyAvailable)
+        return std::nullopt;
+    pending_ = true;
+    return TakeDutyCommand{};
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::announce(const ReplacementInput &input)
+{
+    oldPrimary_ = input.record->primary;
+    statuses_.clear();
+    surveySince_.reset();
+    finalPosition_.reset();
+    demotionTried_ = false;
+    notRunning_.clear();
+    if (input.record->replacing) {
+        announcedAt_ = input.recordSince;
+        announcedVersion_ = input.recordVersion;
+        enter(Stage::Withdrawing, input.now);
+        return withdraw(input);
+    }
+    if (!input.mayAnnounce)
+        return std::nullopt;
+    pending_ = true;
+    return AnnounceCommand{{service_, oldPrimary_, true, self_, ++attempt_}};
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::withdraw(const ReplacementInput &input)
+{
+    if (input.allWithdrawn || input.now >= PrimaryPermission::effectiveFrom(*announcedAt_)) {
+        enter(Stage::Surveying, input.now);
+        return survey(input);
+    }
+    return askPeers(input);
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::survey(const ReplacementInput &input)
+{
+    if (!surveySince_)
+        surveySince_ = input.now;
+    if (!statuses_.empty()) {
+        if (auto command = chooseFrom(input))
+            return command;
+    }
+    std::vector<EndpointId> endpoints;
+    for (const ReplacementCandidate &candidate : input.candidates)
+        endpoints.push_back(candidate.id);
+    if (endpoints.empty())
+        return std::nullopt;
+    pending_ = true;
+    return SurveyCommand{endpoints};
+}
+
+std::optional<ReplacementCommand>
+PrimaryReplacement::chooseFrom(const ReplacementInput &input)
+{
+    Term newest;
+    for (const auto &[id, status] : statuses_)
+        newest = std::max(newest, status.term);
+    const auto old = statuses_.find(oldPrimary_);
+    const bool oldDraining = std::any_of(
+        input.candidates.begin(), input.candidates.end(), [&](const ReplacementCandidate &candidate) {
+            return candidate.id == oldPrimary_ && candidate.draining;
+        });
+    // An earlier holder of the duty may have promoted an endpoint without publishing it, and a
+    // primary that crashed may be back with its whole log.
+    for (const auto &[id, status] : statuses_) {
+        if (status.primary && status.term == newest && !(id == oldPrimary_ && oldDraining)) {
+            chosen_ = id;
+            enter(Stage::Publishing, input.now);
+            return publish(input);
+        }
+    }
+    if (old != statuses_.end() && old->second.primary && !demotionTried_) {
+        demotionTried_ = true;
+        enter(Stage::Demoting, input.now);
+        pending_ = true;
+        return DemoteCommand{oldPrimary_, Term(newest.value() + 1)};
+    }
+    const Milliseconds waited
+        = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_);
+    const ReplacementCandidate *best = nullptr;
+    unsigned answered = 0;
+    unsigned replicas = 0;
+    const auto preference = [&](const ReplacementCandidate &candidate) {
+        return std::tuple(statuses_.at(candidate.id).received, candidate.regionShare);
+    };
+    for (const ReplacementCandidate &candidate : input.candidates) {
+        if (candidate.id == oldPrimary_)
+            continue;
+        ++replicas;
+        if (statuses_.count(candidate.id) == 0)
+            continue;
+        ++answered;
+        if (candidate.draining || notRunning_.count(candidate.id) > 0)
+            continue;
+        if (!best || preference(candidate) > preference(*best))
+            best = &candidate;
+    }
+    if (!best)
+        return std::nullopt;
+    // An acknowledged commit is held by syncReplicas replicas, so this many of the others may be
+    // missing from the survey without hiding it.
+    const unsigned mayMiss = input.syncReplicas > 0 ? input.syncReplicas - 1 : replicas;
+    if (replicas - answered > mayMiss)
+        return std::nullopt;
+    if (answered < replicas && waited < surveyLimit)
+        return std::nullopt;
+    if (finalPosition_ && statuses_.at(best->id).received < *finalPosition_
+        && waited < catchUpLimit)
+        return std::nullopt;
+    chosen_ = best->id;
+    enter(Stage::Promoting, input.now);
+    return promote(input);
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &)
+{
+    pending_ = true;
+    return PromoteCommand{chosen_};
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::verify(const ReplacementInput &input)
+{
+    if (const auto found = statuses_.find(chosen_);
+        found != statuses_.end() && found->second.primary) {
+        enter(Stage::Publishing, input.now);
+        return publish(input);
+    }
+    if (input.now - stageSince_ > promotionLimit) {
+        surveySince_.reset();
+        statuses_.clear();
+        enter(Stage::Surveying, input.now);
+        return survey(input);
+    }
+    pending_ = true;
+    return SurveyCommand{{chosen_}};
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::publish(const ReplacementInput &)
+{
+    pending_ = true;
+    return PublishCommand{{service_, chosen_, false, self_, ++attempt_}};
+}
+
+std::optional<ReplacementCommand> PrimaryReplacement::askPeers(const ReplacementInput &input)
+{
+    if (input.now - lastAsk_ < peerQuestionInterval)
+        return std::nullopt;
+    lastAsk_ = input.now;
+    return AskPeersCommand{};
+}
+
+void PrimaryReplacement::handleDutyTaken(bool taken, TimePoint now)
+{
+    pending_ = false;
+    if (!taken)
+        retryAt_ = now + retryDelay;
+}
+
+void PrimaryReplacement::handleAnnounced(std::optional<ResourceVersion> version, TimePoint now)
+{
+    pending_ = false;
+    if (!version) {
+        retryAt_ = now + retryDelay;
+        reset(now);
+        return;
+    }
+    announcedAt_ = now;
+    announcedVersion_ = *version;
+    enter(Stage::Withdrawing, now);
+}
+
+void PrimaryReplacement::handleSurvey(const std::map<EndpointId, EndpointStatus> &statuses,
+                                      TimePoint now)
+{
+    pending_ = false;
+    for (const auto &[id, status] : statuses)
+        statuses_[id] = status;
+    retryAt_ = now + retryDelay / 2;
+}
+
+void PrimaryReplacement::handleDemoted(std::optional<EndpointStatus> status, TimePoint now)
+{
+    pending_ = false;
+    if (status) {
+        finalPosition_ = status->received;
+        statuses_.clear(); // positions from before the end of the old primary's log
+    }
+    surveySince_ = now;
+    enter(Stage::Surveying, now);
+}
+
+void PrimaryReplacement::handlePromoted(PromotionOutcome outcome, TimePoint now)
+{
+    pending_ = false;
+    switch (outcome) {
+    case PromotionOutcome::Accepted:
+        statuses_.erase(chosen_);
+        enter(Stage::Verifying, now);
+        retryAt_ = now + retryDelay;
+        break;
+    case PromotionOutcome::NotRunning:
+        notRunning_.insert(chosen_);
+        statuses_.clear();
+        enter(Stage::Surveying, now);
+        break;
+    case PromotionOutcome::Refused:
+    case PromotionOutcome::NoAnswer:
+        // The same endpoint again: another one could lead as well once a late call takes effect.
+        retryAt_ = now + retryDelay;
+        break;
+    }
+}
+
+void PrimaryReplacement::handlePublished(bool published, TimePoint now)
+{
+    pending_ = false;
+    if (published)
+        reset(now);
+    else
+        retryAt_ = now + retryDelay;
+}
+
+void PrimaryReplacement::enter(Stage stage, TimePoint now)
+{
+    stage_ = stage;
+    stageSince_ = now;
+}
+
+void PrimaryReplacement::reset(TimePoint now)
+{
+    enter(Stage::Watching, now);
+    reason_ = Reason::None;
+    reasonSince_.reset();
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/takeover/records.cpp
@@ -0,0 +1,98 @@
+#include "takeover/records.h"
+
+#include "base/address.h"
+#include "base/json.h"
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr std::string_view servicePrefix = "service-";
+constexpr std::string_view memberPrefix = "member-";
+constexpr std::string_view dutyName = "promotion-duty";
+
+} // namespace
+
+std::string serviceRecordName(const ServiceName &service)
+{
+    return std::string(servicePrefix) + service.value();
+}
+
+std::string memberRecordName(const VmId &vm)
+{
+    return std::string(memberPrefix) + vm.value();
+}
+
+std::string dutyRecordName()
+{
+    return std::string(dutyName);
+}
+
+RecordKind recordKindOf(const std::string &name)
+{
+    if (name.starts_with(servicePrefix))
+        return RecordKind::Service;
+    if (name.starts_with(memberPrefix))
+        return RecordKind::Member;
+    return name == dutyName ? RecordKind::Duty : RecordKind::Other;
+}
+
+std::string encodeServiceRecord(const ServiceRecord &record)
+{
+    return boost::json::serialize(boost::json::object{
+        {"service", record.service.value()},
+        {"primary", record.primary.value()},
+        {"replacing", record.replacing},
+        {"changedBy", record.changedBy.value()},
+        {"attempt", record.attempt},
+    });
+}
+
+std::string encodeDutyRecord(const DutyRecord &record)
+{
+    return boost::json::serialize(boost::json::object{
+        {"holder", record.holder.value()},
+        {"fencingToken", record.fencingToken},
+        {"renewal", record.renewal},
+    });
+}
+
+std::string encodeMemberRecord(const MemberRecord &record)
+{
+    return boost::json::serialize(boost::json::object{
+        {"vm", record.vm.value()},
+        {"address", formatAddress(record.address)},
+    });
+}
+
+Result<ServiceRecord> decodeServiceRecord(const std::string &text)
+{
+    BOOST_LEAF_AUTO(object, parseJsonObject(text));
+    BOOST_LEAF_AUTO(service, requireString(object, "service"));
+    BOOST_LEAF_AUTO(primary, requireString(object, "primary"));
+    BOOST_LEAF_AUTO(replacing, optionalBool(object, "replacing"));
+    BOOST_LEAF_AUTO(changedBy, requireString(object, "changedBy"));
+    BOOST_LEAF_AUTO(attempt, requireUnsigned(object, "attempt"));
+    return ServiceRecord{ServiceName(service), EndpointId(primary), replacing.value_or(false),
+                         VmId(changedBy), attempt};
+}
+
+Result<DutyRecord> decodeDutyRecord(const std::string &text)
+{
+    BOOST_LEAF_AUTO(object, parseJsonObject(text));
+    BOOST_LEAF_AUTO(holder, requireString(object, "holder"));
+    BOOST_LEAF_AUTO(token, requireUnsigned(object, "fencingToken"));
+    BOOST_LEAF_AUTO(renewal, requireUnsigned(object, "renewal"));
+    return DutyRecord{VmId(holder), token, renewal};
+}
+
+Result<MemberRecord> decodeMemberRecord(const std::string &text)
+{
+    BOOST_LEAF_AUTO(object, parseJsonObject(text));
+    BOOST_LEAF_AUTO(vm, requireString(object, "vm"));
+    BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
+    BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
+    return MemberRecord{VmId(vm), address};
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/takeover/records.h
@@ -0,0 +1,58 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_RECORDS_H
+#define PISTACHIOWOOD_TAKEOVER_RECORDS_H
+
+#include <pistachiowood/error.h>
+#include <pistachiowood/ids.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace pistachiowood {
+
+/// Agreed primary of a service, or the announcement that it is being replaced.
+struct ServiceRecord
+{
+    ServiceName service;
+    EndpointId primary; ///< while replacing: the primary that goes
+    bool replacing = false;
+    VmId changedBy;
+    std::uint64_t attempt = 0; ///< distinguishes announcements of one daemon
+
+    friend bool operator==(const ServiceRecord &, const ServiceRecord &) = default;
+};
+
+/// Holder of the right to order promotions and its fencing token.
+struct DutyRecord
+{
+    VmId holder;
+    std::uint64_t fencingToken = 0;
+    std::uint64_t renewal = 0; ///< changes with each renewal
+
+    friend bool operator==(const DutyRecord &, const DutyRecord &) = default;
+};
+
+/// One daemon and where its peers reach it.
+struct MemberRecord
+{
+    VmId vm;
+    SocketAddress address;
+};
+
+std::string serviceRecordName(const ServiceName &service);
+std::string memberRecordName(const VmId &vm);
+std::string dutyRecordName();
+/// Which record a name stands for.
+enum class RecordKind { Service, Member, Duty, Other };
+RecordKind recordKindOf(const std::string &name);
+
+std::string encodeServiceRecord(const ServiceRecord &record);
+std::string encodeDutyRecord(const DutyRecord &record);
+std::string encodeMemberRecord(const MemberRecord &record);
+Result<ServiceRecord> decodeServiceRecord(const std::string &text);
+Result<DutyRecord> decodeDutyRecord(const std::string &text);
+Result<MemberRecord> decodeMemberRecord(const std::string &text);
+
+} // namespace pistachiowood
+
+#endif
