--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -58,6 +58,19 @@
         traffic.post([this, until] { gateway.permitPrimaries(until); });
     }
 
+    void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
+                            PositionHistory::Sample sample) override
+    {
+        traffic.post([this, service, primaryEpoch, sample] {
+            gateway.recordPeerPosition(service, primaryEpoch, sample);
+        });
+    }
+
+    void setProbing(bool probing) override
+    {
+        traffic.post([this, probing] { gateway.setProbing(probing); });
+    }
+
     void queryStatus(const ServiceName &service, const EndpointId &endpoint,
                      SessionStatement statement, Milliseconds timeout,
                      Gateway::StatusCallback callback) override
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -239,6 +239,15 @@
     replicaLags_[endpoint].recordPosition(position, std::max(lag, Milliseconds(0)), clock_.now());
 }
 
+void Gateway::recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
+                                 PositionHistory::Sample sample)
+{
+    const ServiceView *found = findService(service);
+    if (found && found->primary && found->primaryEpoch == primaryEpoch
+        && sample.askedAt < permittedUntil_)
+        services_[service].positions.record(sample.askedAt, sample.position);
+}
+
 std::optional<Gateway::SessionId> Gateway::openSession(const std::string &database,
                                                        CallerChannel &channel)
 {
@@ -290,7 +299,8 @@
             pool->tick();
             if (service && service->primary == id) {
                 const LinkPoolHealth health = pool->health();
-                evidence.push_back({name, id, health.lastReply, health.failingSince});
+                evidence.push_back({name, id, health.lastReply, health.failingSince,
+                                    service->primaryEpoch, traffic.positions.newestSample()});
             }
         }
         if (service)
@@ -335,7 +345,7 @@
         const LinkPoolHealth health = traffic.pools.at(endpoint.id)->health();
         const bool isPrimary = service.primary == endpoint.id;
         const auto interval = health.failingSince ? failingProbeInterval : primaryProbeInterval;
-        if (!isPrimary && !health.failingSince)
+        if (!health.failingSince && !(isPrimary && probing_))
             continue;
         if (health.lastReply && now - *health.lastReply < interval)
             continue;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,8 @@
     EndpointId endpoint;
     std::optional<TimePoint> lastReply;
     std::optional<TimePoint> failingSince;
+    std::uint64_t primaryEpoch = 0;
+    std::optional<PositionHistory::Sample> newestPosition;
 };
 
 /// Sessions of callers and connections to endpoints of one traffic thread. Every function runs in
@@ -40,6 +42,12 @@
     /// Permits the use of the view's primaries until the time.
     void permitPrimaries(TimePoint until);
 
+    /// Adds a position that another daemon learnt from the primary of that epoch.
+    void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
+                            PositionHistory::Sample sample);
+    /// Whether this daemon asks primaries without traffic for their status, for its peers as well.
+    void setProbing(bool probing) { probing_ = probing; }
+
     /// Opens a session with a database; nullopt if no route has the name.
     std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
     void handleStatement(SessionId session, SessionStatement statement);
@@ -93,6 +101,7 @@
     SessionId lastSession_ = 0;
     std::uint64_t lastQuery_ = 0;
     bool draining_ = false;
+    bool probing_ = true;
     unsigned ticks_ = 0;
     EvidenceHandler evidence_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/position_history.cpp
+++ b/src/gateway/position_history.cpp
@@ -65,11 +65,11 @@
     return place->askedAt;
 }
 
-std::optional<TimePoint> PositionHistory::newestSample() const
+std::optional<PositionHistory::Sample> PositionHistory::newestSample() const
 {
     if (samples_.empty())
         return std::nullopt;
-    return samples_.back().askedAt;
+    return samples_.back();
 }
 
 } // namespace pistachiowood
--- a/src/gateway/position_history.h
+++ b/src/gateway/position_history.h
@@ -26,15 +26,15 @@
     /// Time at which the primary was first known to have reached the position; a replica that has
     /// just reached it lags by the time since.
     std::optional<TimePoint> reachedAt(TermPosition position) const;
-    std::optional<TimePoint> newestSample() const;
 
-private:
     struct Sample
     {
         TimePoint askedAt;
         TermPosition position;
     };
+    std::optional<Sample> newestSample() const;
 
+private:
     std::uint64_t epoch_ = 0;
     std::deque<Sample> samples_; ///< increasing in time and position
 };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,12 +1,12 @@
 #include "net/address_overrides.h"
 #include "net/http_codec.h"
+#include "net/socket_options.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
+// A peer that is gone without a reset is noticed after this time, also while a long request waits.
+constexpr Milliseconds peerTimeout{3000};
 
 } // namespace
 
@@ -63,8 +65,7 @@
     void handleConnected()
     {
         stream.enable(ACE_NONBLOCK);
-        int enabled = 1;
-        stream.set_option(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        setStreamOptions(stream, peerTimeout);
         state = State::Open;
         input.clear();
         parser.reset();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,6 +2,7 @@
 
 #include "base/address.h"
 #include "net/address_overrides.h"
+#include "net/socket_options.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
@@ -9,7 +10,6 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -22,7 +22,6 @@
 
 constexpr std::size_t readChunkBytes = 16 * 1024;
 constexpr int listenBacklog = 1024;
-constexpr int keepAliveProbes = 2; // unanswered probes after which the peer counts as gone
 
 } // namespace
 
@@ -66,25 +65,10 @@
         });
     }
 
-    // Makes a peer that vanished without a reset visible within the peer time-out.
-    void setSocketOptions()
-    {
-        int enabled = 1;
-        stream.set_option(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-        stream.set_option(SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
-        int interval = std::max(1, static_cast<int>(options.peerTimeout.count() / 3000));
-        int probes = keepAliveProbes;
-        auto userTimeout = static_cast<unsigned>(options.peerTimeout.count());
-        stream.set_option(IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof interval);
-        stream.set_option(IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
-        stream.set_option(IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-        stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
-    }
-
     bool startReading()
     {
         stream.enable(ACE_NONBLOCK);
-        setSocketOptions();
+        setStreamOptions(stream, options.peerTimeout);
         state = State::Open;
         return loop.reactor()->register_handler(this, READ_MASK) == 0;
     }
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -124,6 +124,12 @@
   endpoint @1 :Text;
   replyAgeMs @2 :Int64;
   failingAgeMs @3 :Int64;
+  # Version of the service record that made the endpoint the primary.
+  epoch @4 :UInt64;
+  # Position that the primary reported, and the time since it was asked; a negative age means none.
+  term @5 :UInt64;
+  position @6 :UInt64;
+  positionAgeMs @7 :Int64;
 }
 
 # What a daemon tells a peer of the platform's objects and of the primaries.
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -447,7 +447,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f31ae7a43dfd2932, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f31ae7a43dfd2932, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2818,6 +2818,14 @@
 
   inline  ::int64_t getFailingAgeMs() const;
 
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getTerm() const;
+
+  inline  ::uint64_t getPosition() const;
+
+  inline  ::int64_t getPositionAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2866,6 +2874,18 @@
   inline  ::int64_t getFailingAgeMs();
   inline void setFailingAgeMs( ::int64_t value);
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+  inline  ::int64_t getPositionAgeMs();
+  inline void setPositionAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5301,6 +5321,62 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PrimaryReport::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryReport::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryReport::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryReport::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrimaryReport::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryReport::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PrimaryReport::Reader::getPositionAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PrimaryReport::Builder::getPositionAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setPositionAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -63,6 +63,12 @@
         primaries[i].setEndpoint(wireText(primary.endpoint.value()));
         primaries[i].setReplyAgeMs(encodeAge(primary.replyAge));
         primaries[i].setFailingAgeMs(encodeAge(primary.failingAge));
+        primaries[i].setEpoch(primary.primaryEpoch);
+        primaries[i].setPositionAgeMs(primary.position ? primary.positionAge.count() : neverMs);
+        if (primary.position) {
+            primaries[i].setTerm(primary.position->term.value());
+            primaries[i].setPosition(primary.position->number.value());
+        }
     }
     // A copy that the receiver does not need keeps its place as an empty entry.
     auto copies = builder.initCopies(objectGroupCount);
@@ -81,10 +87,17 @@
     report.confirmedAge = decodeAge(reader.getConfirmedAgeMs());
     report.promise = reader.getPromise();
     for (const auto primary : reader.getPrimaries()) {
-        report.primaries.push_back({ServiceName(plainText(primary.getService())),
-                                    EndpointId(plainText(primary.getEndpoint())),
-                                    decodeAge(primary.getReplyAgeMs()),
-                                    decodeAge(primary.getFailingAgeMs())});
+        PrimaryReport &entry = report.primaries.emplace_back();
+        entry.service = ServiceName(plainText(primary.getService()));
+        entry.endpoint = EndpointId(plainText(primary.getEndpoint()));
+        entry.replyAge = decodeAge(primary.getReplyAgeMs());
+        entry.failingAge = decodeAge(primary.getFailingAgeMs());
+        entry.primaryEpoch = primary.getEpoch();
+        if (const auto age = decodeAge(primary.getPositionAgeMs())) {
+            entry.position
+                = TermPosition{Term(primary.getTerm()), LogPosition(primary.getPosition())};
+            entry.positionAge = *age;
+        }
     }
     const auto copies = reader.getCopies();
     for (unsigned i = 0; i < copies.size() && i < objectGroupCount; ++i) {
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -12,12 +12,21 @@
 namespace {
 
 constexpr Milliseconds tickPeriod{50};
-// An empty watch of the records confirms the permission; its period stays well below the
-// permission's. Configuration and endpoints only need to notice a silent connection in time.
-constexpr Milliseconds recordsWatchPeriod{800};
-constexpr Milliseconds objectsWatchPeriod{2000};
+// Waiting watches are priced by the call; keep-alive probes show a connection that has gone silent.
+constexpr Milliseconds watchPeriod{20000};
+// Confirmers ask the store, the others ask a confirmer; both together stay well below the period of
+// a permission.
+constexpr Milliseconds checkPeriod{500};
+constexpr Milliseconds checkTimeout{1200};
+constexpr Milliseconds confirmerInterval{500};
+constexpr std::size_t daemonsPerConfirmer = 16; // keeps a confirmer's load at 32 questions a second
+constexpr unsigned confirmerMisses = 2; // after which a daemon asks the store itself
+constexpr Milliseconds selfConfirmation{5000}; // for how long it does so
+constexpr Milliseconds recentConfirmation{1700}; // older ones count as a miss
 // Age of the confirmation at which the peers are asked although no call has failed.
 constexpr Milliseconds confirmationAgeLimit{1900};
+// A daemon with a newer confirmation passes that on instead of a promise.
+constexpr Milliseconds promiseAge{1200};
 constexpr Milliseconds exchangeInterval{300};
 constexpr Milliseconds exchangeTimeout{600};
 constexpr Milliseconds recordTimeout{1500}; // of a change of a record
@@ -60,11 +69,11 @@
         feeds_.at(indexOf(group)) = std::make_unique<GroupFeed>(loop_, clock_, random_, store_,
                                                                 group, period, std::move(handlers));
     };
-    makeFeed(ObjectGroup::Configuration, objectsWatchPeriod,
+    makeFeed(ObjectGroup::Configuration, watchPeriod,
              {[this] { handleConfiguration(); }, [](TimePoint) {}});
-    makeFeed(ObjectGroup::Endpoints, objectsWatchPeriod,
+    makeFeed(ObjectGroup::Endpoints, watchPeriod,
              {[this] { handleEndpoints(); }, [](TimePoint) {}});
-    makeFeed(ObjectGroup::Records, recordsWatchPeriod,
+    makeFeed(ObjectGroup::Records, watchPeriod,
              {[this] { handleRecords(); }, [this](TimePoint at) { confirmRecords(at); }});
 }
 
@@ -132,7 +141,7 @@
 void FleetControl::handleRecords()
 {
     const TimePoint now = clock_.now();
-    std::map<VmId, SocketAddress> members;
+    std::map<VmId, MemberRecord> members;
     registered_ = false;
     for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Records))->items()) {
         const RecordKind kind = recordKindOf(name);
@@ -144,7 +153,7 @@
             if (member->vm == settings_.vm)
                 registered_ = member->address == settings_.peerAddress;
             else
-                members.emplace(member->vm, member->address);
+                members.emplace(member->vm, *member);
         } else if (kind == RecordKind::Duty) {
             const auto decoded = capture([&] { return decodeDutyRecord(item.text); });
             if (const auto *duty = std::get_if<DutyRecord>(&decoded))
@@ -169,9 +178,31 @@
     }
     members_ = std::move(members);
     std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
+    chooseConfirmers();
     scheduleView();
 }
 
+// Every daemon computes the same confirmers from the member records.
+void FleetControl::chooseConfirmers()
+{
+    const auto weight = [](const VmId &vm) { return XXH64(vm.value().data(), vm.value().size(), 0); };
+    std::vector<VmId> region{settings_.vm};
+    for (const auto &[vm, member] : members_) {
+        if (member.region == settings_.region)
+            region.push_back(vm);
+    }
+    std::sort(region.begin(), region.end(),
+              [&](const VmId &left, const VmId &right) { return weight(left) < weight(right); });
+    const std::size_t count = (region.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
+    const auto place = static_cast<std::size_t>(
+        std::find(region.begin(), region.end(), settings_.vm) - region.begin());
+    confirmation_.self = place < count;
+    confirmation_.next = place % count;
+    region.resize(count);
+    confirmation_.confirmers = std::move(region);
+    traffic_.setProbing(confirmation_.self);
+}
+
 void FleetControl::confirmRecords(TimePoint at)
 {
     permission_.confirm(at);
@@ -258,6 +289,7 @@
     const TimePoint now = clock_.now();
     if (!leaving_) {
         registerSelf();
+        tickConfirmation(now);
         tickPeers(now);
         if (configuration_ && feeds_.at(indexOf(ObjectGroup::Records))->loaded()) {
             for (const ServiceLimits &service : configuration_->services)
@@ -283,7 +315,8 @@
         expected = known->second.version;
     else
         registeredAt_ = clock_.now();
-    const std::string text = encodeMemberRecord({settings_.vm, settings_.peerAddress});
+    const std::string text
+        = encodeMemberRecord({settings_.vm, settings_.region, settings_.peerAddress});
     store_.putRecord(name, expected, text, recordTimeout,
                      [this, alive = alive_, name, text](const auto &outcome) {
                          if (!*alive)
@@ -296,12 +329,64 @@
                      });
 }
 
+void FleetControl::tickConfirmation(TimePoint now)
+{
+    if (!feeds_.at(indexOf(ObjectGroup::Records))->loaded())
+        return;
+    if (confirmation_.self || now < confirmation_.selfUntil)
+        checkRecords(now);
+    else if (now - confirmation_.lastAsked >= confirmerInterval)
+        askConfirmer(now);
+}
+
+void FleetControl::checkRecords(TimePoint now)
+{
+    auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    if (confirmation_.checking || now - confirmation_.lastAsked < tickPeriod)
+        return;
+    confirmation_.checking = true;
+    confirmation_.lastAsked = now;
+    store_.checkRecords(records.version(), checkPeriod, checkTimeout,
+                        [this, alive = alive_, now](const StoreOutcome<GroupChanges> &outcome) {
+                            if (!*alive)
+                                return;
+                            confirmation_.checking = false;
+                            const auto *changes = std::get_if<GroupChanges>(&outcome);
+                            recordsReachable_ = changes != nullptr;
+                            if (!changes)
+                                return;
+                            auto &feed = *feeds_.at(indexOf(ObjectGroup::Records));
+                            feed.takeChanges(*changes);
+                            if (feed.version() >= changes->version)
+                                confirmRecords(now);
+                        });
+}
+
+void FleetControl::askConfirmer(TimePoint now)
+{
+    confirmation_.lastAsked = now;
+    const auto &confirmed = permission_.confirmedAt();
+    if (!confirmed || now - *confirmed > recentConfirmation) {
+        ++confirmation_.next;
+        if (++confirmation_.misses >= confirmerMisses) {
+            confirmation_.misses = 0;
+            confirmation_.selfUntil = now + selfConfirmation;
+            checkRecords(now + tickPeriod);
+        }
+    } else {
+        confirmation_.misses = 0;
+    }
+    const VmId &vm = confirmation_.confirmers.at(confirmation_.next % confirmation_.confirmers.size());
+    if (const auto member = members_.find(vm); member != members_.end())
+        exchangeWith(vm, member->second.address, false, nullptr);
+}
+
 void FleetControl::tickPeers(TimePoint now)
 {
     const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
     const auto confirmed = permission_.confirmedAt();
     const bool old = !confirmed || now - *confirmed > confirmationAgeLimit;
-    if (!records.failing() && !(old && records.loaded()))
+    if (recordsReachable_ && !records.failing() && !(old && records.loaded()))
         return;
     if (now - lastExchange_ < exchangeInterval)
         return;
@@ -314,8 +399,8 @@
     auto round = std::make_shared<PromiseRound>();
     round->startedAt = lastExchange_;
     round->asked = members_.size();
-    for (const auto &[vm, address] : members_)
-        exchangeWith(vm, address, wantPromise, round);
+    for (const auto &[vm, member] : members_)
+        exchangeWith(vm, member.address, wantPromise, round);
     if (!members_.empty())
         return;
     for (const SocketAddress &seed : settings_.seeds) {
@@ -368,7 +453,13 @@
     if (const auto confirmed = permission_.confirmedAt())
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
     for (const auto &[service, evidence] : evidence_) {
-        PrimaryReport primary{service, evidence.endpoint, std::nullopt, std::nullopt};
+        PrimaryReport primary{.service = service,
+                              .endpoint = evidence.endpoint,
+                              .primaryEpoch = evidence.primaryEpoch};
+        if (const auto &sample = evidence.newestPosition) {
+            primary.position = sample->position;
+            primary.positionAge = std::chrono::ceil<Milliseconds>(now - sample->askedAt);
+        }
         if (evidence.lastReply)
             primary.replyAge = std::chrono::duration_cast<Milliseconds>(now - *evidence.lastReply);
         if (evidence.failingSince)
@@ -400,6 +491,12 @@
         state.report->copies.clear();
         state.receivedAt = clock_.now();
     }
+    for (const PrimaryReport &primary : report.primaries) {
+        if (answer && primary.position) {
+            traffic_.recordPeerPosition(primary.service, primary.primaryEpoch,
+                                        {sentAt - primary.positionAge, *primary.position});
+        }
+    }
     // The sender's confirmation covers this daemon only if its records are as new.
     const std::size_t records = indexOf(ObjectGroup::Records);
     if (answer && report.confirmedAge && feeds_.at(records)->version() >= report.versions.at(records))
@@ -408,8 +505,9 @@
 
 bool FleetControl::mayPromise(TimePoint now) const
 {
-    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
-    return records.failing() && now >= announcementUncertainUntil_;
+    const auto confirmed = permission_.confirmedAt();
+    const bool old = !confirmed || now - *confirmed > promiseAge;
+    return old && now >= announcementUncertainUntil_;
 }
 
 PeerReport FleetControl::handlePeerReport(const PeerReport &report)
@@ -663,7 +761,7 @@
 void FleetControl::promote(const ServiceName &service, const EndpointId &endpoint)
 {
     const TimePoint now = clock_.now();
-    if (!duty_.held(now)) {
+    if (!duty_.held(now) || now < promisedUntil_) {
         replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
         return;
     }
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -24,6 +24,12 @@
     virtual void setView(std::shared_ptr<const DeploymentView> view, std::function<void()> obeyed)
         = 0;
     virtual void permitPrimaries(TimePoint until) = 0;
+    /// A position that a peer learnt from the primary of that epoch.
+    virtual void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
+                                    PositionHistory::Sample sample)
+        = 0;
+    /// Whether this daemon asks primaries without traffic for their status.
+    virtual void setProbing(bool probing) = 0;
     virtual void queryStatus(const ServiceName &service, const EndpointId &endpoint,
                              SessionStatement statement, Milliseconds timeout,
                              Gateway::StatusCallback callback)
@@ -67,6 +73,17 @@
         TimePoint receivedAt;
         bool exchanging = false;
     };
+    /// How this daemon keeps its permission to use primaries.
+    struct Confirmation
+    {
+        std::vector<VmId> confirmers; ///< daemons of the region that ask the store for the others
+        bool self = true; ///< this daemon is one of them
+        bool checking = false; ///< a call to the store is open
+        std::size_t next = 0; ///< index of the confirmer to ask
+        unsigned misses = 0; ///< answers without a recent confirmation
+        TimePoint lastAsked{};
+        TimePoint selfUntil{}; ///< asks the store itself until then
+    };
     struct ServiceState
     {
         std::unique_ptr<PrimaryReplacement> replacement;
@@ -92,6 +109,10 @@
     void publishView();
     void scheduleView();
     void tick();
+    void chooseConfirmers();
+    void tickConfirmation(TimePoint now);
+    void checkRecords(TimePoint now);
+    void askConfirmer(TimePoint now);
     void tickPeers(TimePoint now);
     void exchangeWithAll(bool wantPromise);
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
@@ -127,7 +148,8 @@
     std::array<std::unique_ptr<GroupFeed>, objectGroupCount> feeds_;
     std::optional<DeploymentConfiguration> configuration_;
     std::map<EndpointId, EndpointEntry> endpoints_;
-    std::map<VmId, SocketAddress> members_; ///< without this daemon
+    std::map<VmId, MemberRecord> members_; ///< without this daemon
+    Confirmation confirmation_;
     bool registered_ = false;
     bool registering_ = false;
     bool leaving_ = false;
@@ -139,6 +161,7 @@
     std::optional<TimePoint> sentPermission_;
     DutyLease duty_;
     bool takingDuty_ = false;
+    bool recordsReachable_ = true; ///< the last question about the records had an answer
     TimePoint promisedUntil_{};
     TimePoint announcementUncertainUntil_{};
     ResourceVersion obeyedRecords_;
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -86,26 +86,32 @@
     }
     handleAnswer();
     const auto &changes = std::get<GroupChanges>(outcome);
-    if (changes.version >= version_) {
-        bool changed = false;
-        for (const auto &[item, deleted] : changes.changes) {
-            const auto known = items_.find(item.name);
-            if (known != items_.end() && known->second.version >= item.version && !deleted)
-                continue;
-            changed = true;
-            if (deleted)
-                items_.erase(item.name);
-            else
-                items_[item.name] = item;
-        }
-        version_ = changes.version;
-        if (changed)
-            handlers_.changed();
+    takeChanges(changes);
+    if (changes.version >= version_)
         handlers_.confirmed(sentAt);
-    }
     watch();
 }
 
+void GroupFeed::takeChanges(const GroupChanges &changes)
+{
+    if (changes.version < version_)
+        return;
+    bool changed = false;
+    for (const auto &[item, deleted] : changes.changes) {
+        const auto known = items_.find(item.name);
+        if (known != items_.end() && known->second.version >= item.version && !deleted)
+            continue;
+        changed = true;
+        if (deleted)
+            items_.erase(item.name);
+        else
+            items_[item.name] = item;
+    }
+    version_ = changes.version;
+    if (changed)
+        handlers_.changed();
+}
+
 void GroupFeed::handleAnswer()
 {
     failures_ = 0;
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -32,6 +32,8 @@
     void start();
     /// True if the snapshot was newer than the copy.
     bool takeSnapshot(const GroupSnapshot &snapshot);
+    /// Takes over changes that another call brought.
+    void takeChanges(const GroupChanges &changes);
     /// Adds the result of a change that this daemon made.
     void takeOwnChange(const StoredItem &item);
 
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -3,6 +3,8 @@
 
 #include "takeover/platform_store.h"
 
+#include <pistachiowood/log_position.h>
+
 #include <array>
 #include <functional>
 #include <optional>
@@ -18,6 +20,9 @@
     EndpointId endpoint;
     std::optional<Milliseconds> replyAge; ///< time since its last reply
     std::optional<Milliseconds> failingAge; ///< time since it has stopped replying
+    std::uint64_t primaryEpoch = 0; ///< version of the record that made it the primary
+    std::optional<TermPosition> position; ///< that it reported
+    Milliseconds positionAge{0}; ///< time since it was asked for the position
 };
 
 struct GroupCopy
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -61,6 +61,7 @@
 {
     return boost::json::serialize(boost::json::object{
         {"vm", record.vm.value()},
+        {"region", record.region.value()},
         {"address", formatAddress(record.address)},
     });
 }
@@ -90,9 +91,10 @@
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
     BOOST_LEAF_AUTO(vm, requireString(object, "vm"));
+    BOOST_LEAF_AUTO(region, requireString(object, "region"));
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
-    return MemberRecord{VmId(vm), address};
+    return MemberRecord{VmId(vm), RegionName(region), address};
 }
 
 } // namespace pistachiowood
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -36,6 +36,7 @@
 struct MemberRecord
 {
     VmId vm;
+    RegionName region;
     SocketAddress address;
 };
 
