--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -79,8 +79,8 @@
 
 Severity parseSeverity(std::string_view name)
 {
-    for (const Severity severity : {Severity::Debug, Severity::Info, Severity::Warning,
-                                    Severity::Error, Severity::Fatal}) {
+    for (const Severity severity :
+         {Severity::Debug, Severity::Info, Severity::Warning, Severity::Error, Severity::Fatal}) {
         if (severityName(severity) == name)
             return severity;
     }
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -38,6 +38,8 @@
     EVENT(PromotionHeldDown, 1511, Info, "promotion waits for the hold-down")                              \
     EVENT(StatusPublishFailed, 1512, Warning,                                                              \
           "service status could not be published; trying again")                                           \
+    EVENT(ReplacementStep, 1513, Info, "step of a replacement of a primary")                               \
+    EVENT(EndpointSurveyed, 1514, Info, "status of an endpoint in a replacement")                          \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -39,7 +39,8 @@
         , dialer(ports.makeDialer(traffic))
         , gateway(traffic, clock, *dialer)
         , callers(ports.makeCallers(traffic, gateway))
-        , peers(control, [this](const PeerReport &report) { return fleet->handlePeerReport(report); })
+        , peers(control,
+                [this](const PeerReport &report) { return fleet->handlePeerReport(report); })
     {
         fleet = std::make_unique<FleetControl>(control, clock, random, settings.fleet, *store,
                                                *promotions, peers, *this);
@@ -77,9 +78,10 @@
     {
         traffic.post([this, service, endpoint, statement = std::move(statement), timeout,
                       callback = std::move(callback)] {
-            gateway.queryStatus(service, endpoint, statement, timeout, [this, callback](auto status) {
-                control.post([callback, status] { callback(status); });
-            });
+            gateway.queryStatus(service, endpoint, statement, timeout,
+                                [this, callback](auto status) {
+                                    control.post([callback, status] { callback(status); });
+                                });
         });
     }
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -32,8 +32,7 @@
 
 } // namespace
 
-CallerSession::CallerSession(GatewayServices &services, CallerChannel &channel,
-                             DatabaseRoute route)
+CallerSession::CallerSession(GatewayServices &services, CallerChannel &channel, DatabaseRoute route)
     : services_(services)
     , channel_(channel)
     , route_(std::move(route))
@@ -199,13 +198,13 @@
         replyLocally(ReplyCode::NoDatabase, "the database no longer exists");
         return;
     }
-    work.writes = statement.verb == Verb::Write
-        || (statement.verb == Verb::Execute && work.prepared.writes);
+    work.writes =
+        statement.verb == Verb::Write || (statement.verb == Verb::Execute && work.prepared.writes);
     work.statement = std::move(statement);
     work.startedAt = services_.clock().now();
     work.deadline = work.startedAt + route_.statementTimeout;
-    work.holdUntil
-        = work.startedAt + route_.statementTimeout * holdShareNumerator / holdShareDenominator;
+    work.holdUntil =
+        work.startedAt + route_.statementTimeout * holdShareNumerator / holdShareDenominator;
     work.timer = services_.loop().startTimer(route_.statementTimeout, [this] { handleExpired(); });
     work_ = std::move(work);
     if (transaction_ && transaction_->broken) {
@@ -245,11 +244,11 @@
 // at once, so that its caller can come back.
 bool CallerSession::waitTooLong() const
 {
-    const auto elapsed
-        = std::chrono::duration_cast<Milliseconds>(services_.clock().now() - work_->startedAt);
+    const auto elapsed =
+        std::chrono::duration_cast<Milliseconds>(services_.clock().now() - work_->startedAt);
     const Milliseconds wait = work_->pool->expectedWait(route_.priority);
     return wait > Milliseconds(0)
-        && elapsed + wait + work_->pool->health().latency > route_.targetLatency * 3 / 4;
+           && elapsed + wait + work_->pool->health().latency > route_.targetLatency * 3 / 4;
 }
 
 bool CallerSession::choosePrimary()
@@ -291,8 +290,10 @@
         ReadCandidate candidate;
         candidate.primary = service->primary == endpoint.id;
         candidate.usable = pool && pool->usable() && !endpoint.draining
-            && work_->excluded.count(endpoint.id) == 0 && (!candidate.primary || permitted);
-        candidate.expectedFresh = candidate.primary
+                           && work_->excluded.count(endpoint.id) == 0
+                           && (!candidate.primary || permitted);
+        candidate.expectedFresh =
+            candidate.primary
             || (after && services_.replicaLag(endpoint.id).expectedFresh(*after, age, now));
         candidate.distance = endpoint.distance;
         candidate.latency = health.latency;
@@ -321,8 +322,7 @@
 {
     ++work_->attempts;
     work_->stage = Stage::WaitingForLink;
-    work_->ticket
-        = work_->pool->acquire(*this, variables_, route_.priority, work_->holdUntil);
+    work_->ticket = work_->pool->acquire(*this, variables_, route_.priority, work_->holdUntil);
 }
 
 void CallerSession::hold()
@@ -380,9 +380,9 @@
     work_->excluded.insert(work_->pool->endpoint().id);
     const TimePoint now = services_.clock().now();
     if (now >= work_->holdUntil) {
-        giveUp(ReplyCode::Busy,
-               failure == LinkFailure::Refused ? "the endpoint has no connection free"
-                                               : "the endpoint is not reachable");
+        giveUp(ReplyCode::Busy, failure == LinkFailure::Refused
+                                    ? "the endpoint has no connection free"
+                                    : "the endpoint is not reachable");
         return;
     }
     dispatch();
@@ -394,8 +394,8 @@
     work_->preludeFailure.reset();
     const bool execute = work_->statement.verb == Verb::Execute;
     const bool opened = transaction_ && transaction_->opened;
-    work_->prelude = planPrelude(link_->sessionState, variables_,
-                                 execute ? &work_->prepared : nullptr, opened);
+    work_->prelude =
+        planPrelude(link_->sessionState, variables_, execute ? &work_->prepared : nullptr, opened);
     auto &statements = work_->prelude.statements;
     if (transaction_ && !opened) {
         const Verb verb = transaction_->readOnly ? Verb::BeginReadOnly : Verb::Begin;
@@ -415,8 +415,8 @@
     if (work_->preludeFailure) {
         const ReplyCode code = *work_->preludeFailure;
         // The state of the connection is uncertain after a partly failed prelude.
-        const bool onlyBeginFailed = work_->prelude.statements.size() == 1 && transaction_
-            && !transaction_->opened;
+        const bool onlyBeginFailed =
+            work_->prelude.statements.size() == 1 && transaction_ && !transaction_->opened;
         if (onlyBeginFailed)
             releaseLink();
         else
@@ -558,8 +558,7 @@
 void CallerSession::confirmWrite()
 {
     const ServiceView *service = services_.findService(route_.service);
-    const std::uint64_t epoch
-        = transaction_ ? transaction_->primaryEpoch : work_->primaryEpoch;
+    const std::uint64_t epoch = transaction_ ? transaction_->primaryEpoch : work_->primaryEpoch;
     if (!service || service->primaryEpoch != epoch) {
         giveUp(ReplyCode::Unknown, "the primary was replaced while it committed");
         return;
@@ -602,8 +601,9 @@
     if (work_->stage == Stage::Confirming) {
         const TimePoint now = services_.clock().now();
         if (now < work_->deadline) {
-            work_->timer = services_.loop().startTimer(
-                std::chrono::ceil<Milliseconds>(work_->deadline - now), [this] { handleExpired(); });
+            work_->timer =
+                services_.loop().startTimer(std::chrono::ceil<Milliseconds>(work_->deadline - now),
+                                            [this] { handleExpired(); });
             return;
         }
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -135,8 +135,9 @@
 
 void Gateway::updatePools(const ServiceView &service, ServiceTraffic &traffic)
 {
-    const unsigned shared
-        = service.maxConnections > reservedConnections ? service.maxConnections - reservedConnections : 1;
+    const unsigned shared = service.maxConnections > reservedConnections
+                                ? service.maxConnections - reservedConnections
+                                : 1;
     const std::size_t share = std::max(1U, shared / std::max(1U, view_->daemons));
     std::set<EndpointId> present;
     for (const EndpointView &endpoint : service.endpoints) {
@@ -276,8 +277,7 @@
 }
 
 void Gateway::queryStatus(const ServiceName &service, const EndpointId &endpoint,
-                          SessionStatement statement, Milliseconds timeout,
-                          StatusCallback callback)
+                          SessionStatement statement, Milliseconds timeout, StatusCallback callback)
 {
     LinkPool *pool = findPool(service, endpoint);
     if (!pool) {
@@ -324,16 +324,15 @@
         const ServiceView *service = findService(name);
         for (const auto &[id, pool] : traffic.pools) {
             const LinkPoolHealth health = pool->health();
-            logEvent(Event::PoolState,
-                     {{"service", name.value()},
-                      {"endpoint", id.value()},
-                      {"primary", service && service->primary == id ? 1 : 0},
-                      {"distance", pool->endpoint().distance},
-                      {"open", health.open},
-                      {"in_use", health.inUse},
-                      {"waiting", health.waiting},
-                      {"latency_ms", health.latency.count()},
-                      {"failing", health.failingSince ? 1 : 0}});
+            logEvent(Event::PoolState, {{"service", name.value()},
+                                        {"endpoint", id.value()},
+                                        {"primary", service && service->primary == id ? 1 : 0},
+                                        {"distance", pool->endpoint().distance},
+                                        {"open", health.open},
+                                        {"in_use", health.inUse},
+                                        {"waiting", health.waiting},
+                                        {"latency_ms", health.latency.count()},
+                                        {"failing", health.failingSince ? 1 : 0}});
         }
     }
 }
--- a/src/gateway/link_pool.cpp
+++ b/src/gateway/link_pool.cpp
@@ -58,8 +58,8 @@
     pool_.handleFailed(*this, failure, reason);
 }
 
-LinkPool::LinkPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer,
-                   ServiceName service, EndpointView endpoint, PositionHandler positions)
+LinkPool::LinkPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer, ServiceName service,
+                   EndpointView endpoint, PositionHandler positions)
     : loop_(loop)
     , clock_(clock)
     , dialer_(dialer)
@@ -133,8 +133,8 @@
             refuseWaiters(LinkFailure::Unreachable);
         return;
     }
-    auto opening = static_cast<std::size_t>(
-        std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
+    auto opening =
+        static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
             return entry.second->state_ == PooledLink::State::Opening;
         }));
     while (opening < waiters_.size() && links_.size() < limit()) {
@@ -175,8 +175,8 @@
 void LinkPool::release(PooledLink &link)
 {
     if (link.user_) {
-        const double held
-            = std::chrono::duration<double, std::milli>(clock_.now() - link.grantedAt_).count();
+        const double held =
+            std::chrono::duration<double, std::milli>(clock_.now() - link.grantedAt_).count();
         holdMs_ += holdWeight * (held - holdMs_);
     }
     link.user_ = nullptr;
@@ -304,14 +304,12 @@
         if (link->state_ == PooledLink::State::Idle
             && now - link->idleSince_ > (borrowed ? borrowedIdleLifetime : idleLifetime))
             idle.push_back(id);
-        const bool waits
-            = link->outstanding_ > 0 || link->state_ == PooledLink::State::Opening;
+        const bool waits = link->outstanding_ > 0 || link->state_ == PooledLink::State::Opening;
         const bool silent = waits && now - link->lastSend_ > silenceLimit
-            && (!lastReply_ || *lastReply_ < link->lastSend_);
+                            && (!lastReply_ || *lastReply_ < link->lastSend_);
         if (silent && !failingSince_)
             failingSince_ = link->lastSend_;
-        if (link->state_ == PooledLink::State::RollingBack
-            && now - link->lastSend_ > silenceLimit)
+        if (link->state_ == PooledLink::State::RollingBack && now - link->lastSend_ > silenceLimit)
             idle.push_back(id);
     }
     for (const std::uint64_t id : idle)
@@ -353,8 +351,8 @@
     if (ahead == 0)
         return Milliseconds(0);
     const std::size_t links = std::max<std::size_t>(1, std::min(links_.size(), limit()));
-    return Milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(ahead) * holdMs_ / static_cast<double>(links)));
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(ahead) * holdMs_
+                                                  / static_cast<double>(links)));
 }
 
 bool LinkPool::usable() const
@@ -371,8 +369,8 @@
     health.lastReply = lastReply_;
     health.failingSince = failingSince_;
     health.latency = Milliseconds(static_cast<std::int64_t>(latencyMs_));
-    health.inUse = static_cast<std::size_t>(
-        std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
+    health.inUse =
+        static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
             return entry.second->state_ == PooledLink::State::InUse;
         }));
     health.open = links_.size();
--- a/src/gateway/link_prelude.cpp
+++ b/src/gateway/link_prelude.cpp
@@ -12,9 +12,8 @@
 bool needsReset(const LinkSessionState &current, const SessionVariables &variables)
 {
     // A variable cannot be unset alone.
-    return std::any_of(current.variables.begin(), current.variables.end(), [&](const auto &entry) {
-        return variables.count(entry.first) == 0;
-    });
+    return std::any_of(current.variables.begin(), current.variables.end(),
+                       [&](const auto &entry) { return variables.count(entry.first) == 0; });
 }
 
 } // namespace
@@ -56,8 +55,7 @@
     return plan;
 }
 
-std::size_t countVariableChanges(const LinkSessionState &current,
-                                 const SessionVariables &variables)
+std::size_t countVariableChanges(const LinkSessionState &current, const SessionVariables &variables)
 {
     std::size_t changes = needsReset(current, variables) ? 1 + variables.size() : 0;
     if (changes > 0)
--- a/src/gateway/read_choice.cpp
+++ b/src/gateway/read_choice.cpp
@@ -22,7 +22,7 @@
 double expectedCost(const ReadCandidate &candidate)
 {
     const double queue = static_cast<double>(candidate.inUse + candidate.waiting)
-        / static_cast<double>(std::max<std::size_t>(candidate.limit, 1));
+                         / static_cast<double>(std::max<std::size_t>(candidate.limit, 1));
     const double latency = static_cast<double>(candidate.latency.count()) * (1 + queue);
     const auto distance = std::min<std::size_t>(candidate.distance, distanceCostMs.size() - 1);
     return latency + distanceCostMs.at(distance) + (candidate.primary ? primaryCostMs : 0);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-// Sockets per loop on a VM without a lower descriptor limit: 8192 callers plus endpoint connections.
+// Sockets per loop on a VM without a lower descriptor limit: 8192 callers plus endpoint
+// connections.
 constexpr std::size_t maxHandles = 16384;
 constexpr Milliseconds longestWait{1000};
 
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -17,7 +17,8 @@
 void setStreamOptions(ACE_SOCK_Stream &stream, Milliseconds peerTimeout)
 {
     int enabled = 1;
-    int interval = std::max(1, static_cast<int>(peerTimeout.count() / 1000 / (keepAliveProbes + 1)));
+    int interval =
+        std::max(1, static_cast<int>(peerTimeout.count() / 1000 / (keepAliveProbes + 1)));
     int probes = keepAliveProbes;
     auto userTimeout = static_cast<unsigned>(peerTimeout.count());
     stream.set_option(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -289,8 +289,7 @@
 
     std::unique_ptr<Stream> accept(StreamListener &listener) override
     {
-        auto connection
-            = std::make_shared<Stream::Private>(loop, options, &listener, counter);
+        auto connection = std::make_shared<Stream::Private>(loop, options, &listener, counter);
         connection->stream = std::exchange(accepted, ACE_SOCK_Stream());
         if (!connection->startReading())
             return nullptr;
@@ -324,9 +323,8 @@
     if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
         return makeError(ErrorCode::InvalidArgument, "invalid address " + formatAddress(address));
     if (private_->acceptor.open(local, 1, AF_INET, listenBacklog) != 0) {
-        return makeError(ErrorCode::Unavailable,
-                         "cannot listen on " + formatAddress(address) + ": "
-                             + std::strerror(errno));
+        return makeError(ErrorCode::Unavailable, "cannot listen on " + formatAddress(address) + ": "
+                                                     + std::strerror(errno));
     }
     private_->acceptor.enable(ACE_NONBLOCK);
     private_->acceptor.get_local_addr(local);
@@ -345,8 +343,8 @@
 {
     if (!std::exchange(private_->listening, false))
         return;
-    private_->loop.reactor()->remove_handler(
-        private_.get(), ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    private_->loop.reactor()->remove_handler(private_.get(), ACE_Event_Handler::ACCEPT_MASK
+                                                                 | ACE_Event_Handler::DONT_CALL);
     private_->acceptor.close();
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -19,7 +19,7 @@
 {
 public:
     virtual ~StreamListener() = default;
-    virtual void handleStreamOpened() { }
+    virtual void handleStreamOpened() {}
     /// The listener removes what it has consumed from the input.
     virtual void handleStreamInput(std::string &input) = 0;
     /// The stream is closed; no further event follows.
--- a/src/rpc/loop_calls.h
+++ b/src/rpc/loop_calls.h
@@ -62,17 +62,16 @@
         eventLoop->post([callback, outcome = std::move(outcome)] { callback(outcome); });
     };
     host.post([peer, timeout, call = std::move(call), finish](RpcHost::Context &context) {
-        auto answer = context.connect(peer).then([call](capnp::Capability::Client client) {
-            return call(client.castAs<Interface>());
-        });
+        auto answer = context.connect(peer).then(
+            [call](capnp::Capability::Client client) { return call(client.castAs<Interface>()); });
         const auto limit = timeout.count() * kj::MILLISECONDS;
-        context.run(context.timer()
-                        .timeoutAfter(limit, kj::mv(answer))
-                        .then([finish](T value) { finish(std::move(value)); },
-                              [finish](kj::Exception &&failure) {
-                                  finish(Error{ErrorCode::Unavailable,
-                                               failure.getDescription().cStr()});
-                              }));
+        context.run(
+            context.timer()
+                .timeoutAfter(limit, kj::mv(answer))
+                .then([finish](T value) { finish(std::move(value)); },
+                      [finish](kj::Exception &&failure) {
+                          finish(Error{ErrorCode::Unavailable, failure.getDescription().cStr()});
+                      }));
     });
 }
 
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -94,8 +94,8 @@
         entry.failingAge = decodeAge(primary.getFailingAgeMs());
         entry.primaryEpoch = primary.getEpoch();
         if (const auto age = decodeAge(primary.getPositionAgeMs())) {
-            entry.position
-                = TermPosition{Term(primary.getTerm()), LogPosition(primary.getPosition())};
+            entry.position =
+                TermPosition{Term(primary.getTerm()), LogPosition(primary.getPosition())};
             entry.positionAge = *age;
         }
     }
@@ -153,8 +153,8 @@
 {
     return private_->host.listen(
         address, ConnectionClass::ControlRpc, [this]() -> capnp::Capability::Client {
-            return wire::Peer::Client(kj::heap<PeerServer>(private_->loop, private_->handler,
-                                                           private_->host.poster()));
+            return wire::Peer::Client(
+                kj::heap<PeerServer>(private_->loop, private_->handler, private_->host.poster()));
         });
 }
 
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -25,8 +25,9 @@
 constexpr Milliseconds recentConfirmation{1700}; // older ones count as a miss
 // Age of the confirmation at which the peers are asked although no call has failed.
 constexpr Milliseconds confirmationAgeLimit{1900};
-// A daemon with a newer confirmation passes that on instead of a promise.
-constexpr Milliseconds promiseAge{1200};
+// A daemon with a newer confirmation passes that on instead of a promise, which keeps it from
+// replacing primaries. Confirmations are at most 1.6 s old while the store answers.
+constexpr Milliseconds promiseAge{1900};
 constexpr Milliseconds exchangeInterval{300};
 constexpr Milliseconds exchangeTimeout{600};
 constexpr Milliseconds recordTimeout{1500}; // of a change of a record
@@ -65,7 +66,8 @@
     , traffic_(traffic)
     , duty_(settings_.vm)
 {
-    const auto makeFeed = [&](ObjectGroup group, Milliseconds period, GroupFeed::Handlers handlers) {
+    const auto makeFeed = [&](ObjectGroup group, Milliseconds period,
+                              GroupFeed::Handlers handlers) {
         feeds_.at(indexOf(group)) = std::make_unique<GroupFeed>(loop_, clock_, random_, store_,
                                                                 group, period, std::move(handlers));
     };
@@ -185,7 +187,9 @@
 // Every daemon computes the same confirmers from the member records.
 void FleetControl::chooseConfirmers()
 {
-    const auto weight = [](const VmId &vm) { return XXH64(vm.value().data(), vm.value().size(), 0); };
+    const auto weight = [](const VmId &vm) {
+        return XXH64(vm.value().data(), vm.value().size(), 0);
+    };
     std::vector<VmId> region{settings_.vm};
     for (const auto &[vm, member] : members_) {
         if (member.region == settings_.region)
@@ -209,6 +213,10 @@
     // A view with the newest records must reach the traffic thread before the permission does.
     if (viewScheduled_)
         publishView();
+    // Without a view on its way, the traffic thread obeys all that the copy holds.
+    if (viewsOnTheWay_ == 0)
+        obeyedRecords_ =
+            std::max(obeyedRecords_, feeds_.at(indexOf(ObjectGroup::Records))->version());
     const auto expiry = permission_.expiresAt();
     if (expiry && expiry != sentPermission_) {
         sentPermission_ = expiry;
@@ -265,9 +273,12 @@
         service->second.endpoints.push_back(
             {id, entry.address, entry.slots, entry.draining, distanceTo(entry.zone)});
     }
+    ++viewsOnTheWay_;
     traffic_.setView(view, [this, alive = alive_, version = view->recordsVersion] {
-        if (*alive)
-            obeyedRecords_ = std::max(obeyedRecords_, ResourceVersion(version));
+        if (!*alive)
+            return;
+        --viewsOnTheWay_;
+        obeyedRecords_ = std::max(obeyedRecords_, ResourceVersion(version));
     });
 }
 
@@ -315,18 +326,18 @@
         expected = known->second.version;
     else
         registeredAt_ = clock_.now();
-    const std::string text
-        = encodeMemberRecord({settings_.vm, settings_.region, settings_.peerAddress});
-    store_.putRecord(name, expected, text, recordTimeout,
-                     [this, alive = alive_, name, text](const auto &outcome) {
-                         if (!*alive)
-                             return;
-                         registering_ = false;
-                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
-                             feeds_.at(indexOf(ObjectGroup::Records))
-                                 ->takeOwnChange({name, *version, text});
-                         }
-                     });
+    const std::string text =
+        encodeMemberRecord({settings_.vm, settings_.region, settings_.peerAddress});
+    store_.putRecord(
+        name, expected, text, recordTimeout,
+        [this, alive = alive_, name, text](const auto &outcome) {
+            if (!*alive)
+                return;
+            registering_ = false;
+            if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                feeds_.at(indexOf(ObjectGroup::Records))->takeOwnChange({name, *version, text});
+            }
+        });
 }
 
 void FleetControl::tickConfirmation(TimePoint now)
@@ -376,7 +387,8 @@
     } else {
         confirmation_.misses = 0;
     }
-    const VmId &vm = confirmation_.confirmers.at(confirmation_.next % confirmation_.confirmers.size());
+    const VmId &vm =
+        confirmation_.confirmers.at(confirmation_.next % confirmation_.confirmers.size());
     if (const auto member = members_.find(vm); member != members_.end())
         exchangeWith(vm, member->second.address, false, nullptr);
 }
@@ -430,6 +442,10 @@
                         if (!answer)
                             return;
                         takeReport(*answer, sentAt, true);
+                        for (const auto &[service, serviceState] : services_) {
+                            if (serviceState.replacement && serviceState.replacement->announced())
+                                stepSoon(service);
+                        }
                         if (!round || !answer->promise || ++round->promised < round->asked)
                             return;
                         // No daemon reaches the store, and none will announce a replacement for
@@ -463,8 +479,8 @@
         if (evidence.lastReply)
             primary.replyAge = std::chrono::duration_cast<Milliseconds>(now - *evidence.lastReply);
         if (evidence.failingSince)
-            primary.failingAge
-                = std::chrono::duration_cast<Milliseconds>(now - *evidence.failingSince);
+            primary.failingAge =
+                std::chrono::duration_cast<Milliseconds>(now - *evidence.failingSince);
         report.primaries.push_back(std::move(primary));
     }
     return report;
@@ -499,7 +515,8 @@
     }
     // The sender's confirmation covers this daemon only if its records are as new.
     const std::size_t records = indexOf(ObjectGroup::Records);
-    if (answer && report.confirmedAge && feeds_.at(records)->version() >= report.versions.at(records))
+    if (answer && report.confirmedAge
+        && feeds_.at(records)->version() >= report.versions.at(records))
         confirmRecords(sentAt - *report.confirmedAge);
 }
 
@@ -507,7 +524,10 @@
 {
     const auto confirmed = permission_.confirmedAt();
     const bool old = !confirmed || now - *confirmed > promiseAge;
-    return old && now >= announcementUncertainUntil_;
+    const bool replacing = std::any_of(services_.begin(), services_.end(), [](const auto &entry) {
+        return entry.second.replacement && entry.second.replacement->announced();
+    });
+    return old && !replacing && now >= announcementUncertainUntil_;
 }
 
 PeerReport FleetControl::handlePeerReport(const PeerReport &report)
@@ -548,6 +568,19 @@
         execute(service.name, *command);
 }
 
+// Goes on with a replacement without waiting for the next tick.
+void FleetControl::stepSoon(const ServiceName &service)
+{
+    loop_.post([this, alive = alive_, service] {
+        if (!*alive || leaving_ || !configuration_)
+            return;
+        for (const ServiceLimits &limits : configuration_->services) {
+            if (limits.name == service)
+                tickService(limits, services_[service]);
+        }
+    });
+}
+
 void FleetControl::createRecord(const ServiceLimits &service, ServiceState &state)
 {
     const TimePoint now = clock_.now();
@@ -565,17 +598,17 @@
     const ServiceRecord record{service.name, primary->first, false, settings_.vm, 0};
     const std::string text = encodeServiceRecord(record);
     const std::string name = serviceRecordName(service.name);
-    store_.putRecord(name, std::nullopt, text, recordTimeout,
-                     [this, alive = alive_, name, text, service = service.name](
-                         const StoreOutcome<ResourceVersion> &outcome) {
-                         if (!*alive)
-                             return;
-                         services_[service].creating = false;
-                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
-                             feeds_.at(indexOf(ObjectGroup::Records))
-                                 ->takeOwnChange({name, *version, text});
-                         }
-                     });
+    store_.putRecord(
+        name, std::nullopt, text, recordTimeout,
+        [this, alive = alive_, name, text,
+         service = service.name](const StoreOutcome<ResourceVersion> &outcome) {
+            if (!*alive)
+                return;
+            services_[service].creating = false;
+            if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                feeds_.at(indexOf(ObjectGroup::Records))->takeOwnChange({name, *version, text});
+            }
+        });
 }
 
 bool FleetControl::allWithdrawn(ResourceVersion version) const
@@ -585,7 +618,7 @@
     return std::all_of(members_.begin(), members_.end(), [&](const auto &member) {
         const auto state = peerStates_.find(member.first);
         return state != peerStates_.end() && state->second.report
-            && state->second.report->obeyedRecords >= version;
+               && state->second.report->obeyedRecords >= version;
     });
 }
 
@@ -614,7 +647,7 @@
     }
     const auto &endpoints = *feeds_.at(indexOf(ObjectGroup::Endpoints));
     input.registrationsCurrent = !endpoints.failing() && endpoints.healthySince()
-        && now - *endpoints.healthySince() > registrationsSettle;
+                                 && now - *endpoints.healthySince() > registrationsSettle;
     const PrimaryEvidence *own = ownEvidence(service.name);
     if (own && own->endpoint == state.record->primary)
         input.primaryFailingSince = own->failingSince;
@@ -633,10 +666,10 @@
     }
     const bool newcomer = registeredAt_ && now - *registeredAt_ < newcomerDelay;
     input.mayAnnounce = now >= promisedUntil_ && (!newcomer || members_.empty())
-        && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
+                        && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
     input.dutyHeld = duty_.held(now);
-    input.dutyAvailable
-        = !input.dutyHeld && duty_.available(now) && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
+    input.dutyAvailable = !input.dutyHeld && duty_.available(now)
+                          && !feeds_.at(indexOf(ObjectGroup::Records))->failing();
     input.allWithdrawn = allWithdrawn(state.recordVersion);
     input.rank = rankFor(service.name);
     return input;
@@ -647,8 +680,37 @@
     return services_[service].replacement.get();
 }
 
+void FleetControl::logStep(const ServiceName &service, const ReplacementCommand &command) const
+{
+    struct Describe
+    {
+        std::string operator()(const TakeDutyCommand &) const { return "take the duty"; }
+        std::string operator()(const AskPeersCommand &) const { return {}; }
+        std::string operator()(const AnnounceCommand &c) const
+        {
+            return "announce that " + c.record.primary.value() + " goes";
+        }
+        std::string operator()(const SurveyCommand &) const { return "survey"; }
+        std::string operator()(const DemoteCommand &c) const
+        {
+            return "demote " + c.endpoint.value();
+        }
+        std::string operator()(const PromoteCommand &c) const
+        {
+            return "promote " + c.endpoint.value();
+        }
+        std::string operator()(const PublishCommand &c) const
+        {
+            return "publish " + c.record.primary.value();
+        }
+    };
+    if (const std::string step = std::visit(Describe{}, command); !step.empty())
+        logEvent(Event::ReplacementStep, {{"service", service.value()}, {"step", step}});
+}
+
 void FleetControl::execute(const ServiceName &service, const ReplacementCommand &command)
 {
+    logStep(service, command);
     if (std::holds_alternative<TakeDutyCommand>(command)) {
         services_[service].waitsForDuty = true;
         takeDuty();
@@ -664,6 +726,7 @@
                                  announcementUncertainUntil_ = clock_.now();
                              replacementOf(service)->handleAnnounced(
                                  version ? std::optional(*version) : std::nullopt, clock_.now());
+                             stepSoon(service);
                          });
     } else if (const auto *surveyed = std::get_if<SurveyCommand>(&command)) {
         survey(service, surveyed->endpoints);
@@ -671,20 +734,22 @@
         traffic_.queryStatus(service, demotion->endpoint,
                              {.verb = Verb::Demote, .term = demotion->term}, demotionTimeout,
                              [this, alive = alive_, service](auto status) {
-                                 if (*alive)
+                                 if (*alive) {
                                      replacementOf(service)->handleDemoted(status, clock_.now());
+                                     stepSoon(service);
+                                 }
                              });
     } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
         promote(service, promotion->endpoint);
     } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
-        putServiceRecord(publication->record, services_[service].recordVersion,
-                         [this, service](const StoreOutcome<ResourceVersion> &outcome) {
-                             const bool published = std::holds_alternative<ResourceVersion>(outcome);
-                             if (published)
-                                 logEvent(Event::PromotionCompleted,
-                                          {{"service", service.value()}});
-                             replacementOf(service)->handlePublished(published, clock_.now());
-                         });
+        putServiceRecord(
+            publication->record, services_[service].recordVersion,
+            [this, service](const StoreOutcome<ResourceVersion> &outcome) {
+                const bool published = std::holds_alternative<ResourceVersion>(outcome);
+                if (published)
+                    logEvent(Event::PromotionCompleted, {{"service", service.value()}});
+                replacementOf(service)->handlePublished(published, clock_.now());
+            });
     }
 }
 
@@ -696,24 +761,26 @@
     const TimePoint sentAt = clock_.now();
     const DutyRecord record = duty_.propose(sentAt);
     const std::string text = encodeDutyRecord(record);
-    store_.putRecord(dutyRecordName(), duty_.expectedVersion(), text, recordTimeout,
-                     [this, alive = alive_, record, text,
-                      sentAt](const StoreOutcome<ResourceVersion> &outcome) {
-                         if (!*alive)
-                             return;
-                         takingDuty_ = false;
-                         const TimePoint now = clock_.now();
-                         const auto *version = std::get_if<ResourceVersion>(&outcome);
-                         if (version) {
-                             duty_.accept(record, *version, sentAt, now);
-                             feeds_.at(indexOf(ObjectGroup::Records))
-                                 ->takeOwnChange({dutyRecordName(), *version, text});
-                         }
-                         for (auto &[service, state] : services_) {
-                             if (std::exchange(state.waitsForDuty, false))
-                                 state.replacement->handleDutyTaken(version != nullptr, now);
-                         }
-                     });
+    store_.putRecord(
+        dutyRecordName(), duty_.expectedVersion(), text, recordTimeout,
+        [this, alive = alive_, record, text, sentAt](const StoreOutcome<ResourceVersion> &outcome) {
+            if (!*alive)
+                return;
+            takingDuty_ = false;
+            const TimePoint now = clock_.now();
+            const auto *version = std::get_if<ResourceVersion>(&outcome);
+            if (version) {
+                duty_.accept(record, *version, sentAt, now);
+                feeds_.at(indexOf(ObjectGroup::Records))
+                    ->takeOwnChange({dutyRecordName(), *version, text});
+            }
+            for (auto &[service, state] : services_) {
+                if (!std::exchange(state.waitsForDuty, false))
+                    continue;
+                state.replacement->handleDutyTaken(version != nullptr, now);
+                stepSoon(service);
+            }
+        });
 }
 
 void FleetControl::putServiceRecord(const ServiceRecord &record, ResourceVersion expected,
@@ -721,17 +788,16 @@
 {
     const std::string name = serviceRecordName(record.service);
     const std::string text = encodeServiceRecord(record);
-    store_.putRecord(name, expected, text, recordTimeout,
-                     [this, alive = alive_, name, text,
-                      callback](const StoreOutcome<ResourceVersion> &outcome) {
-                         if (!*alive)
-                             return;
-                         if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
-                             feeds_.at(indexOf(ObjectGroup::Records))
-                                 ->takeOwnChange({name, *version, text});
-                         }
-                         callback(outcome);
-                     });
+    store_.putRecord(
+        name, expected, text, recordTimeout,
+        [this, alive = alive_, name, text, callback](const StoreOutcome<ResourceVersion> &outcome) {
+            if (!*alive)
+                return;
+            if (const auto *version = std::get_if<ResourceVersion>(&outcome)) {
+                feeds_.at(indexOf(ObjectGroup::Records))->takeOwnChange({name, *version, text});
+            }
+            callback(outcome);
+        });
 }
 
 void FleetControl::survey(const ServiceName &service, const std::vector<EndpointId> &endpoints)
@@ -744,17 +810,25 @@
     auto round = std::make_shared<Round>();
     round->open = endpoints.size();
     for (const EndpointId &endpoint : endpoints) {
-        traffic_.queryStatus(service, endpoint, {.verb = Verb::Status}, surveyTimeout,
-                             [this, alive = alive_, service, endpoint, round](auto status) {
-                                 if (!*alive)
-                                     return;
-                                 if (status)
-                                     round->statuses[endpoint] = *status;
-                                 if (--round->open == 0) {
-                                     replacementOf(service)->handleSurvey(round->statuses,
-                                                                          clock_.now());
-                                 }
-                             });
+        traffic_.queryStatus(
+            service, endpoint, {.verb = Verb::Status}, surveyTimeout,
+            [this, alive = alive_, service, endpoint, round](auto status) {
+                if (!*alive)
+                    return;
+                if (status)
+                    round->statuses[endpoint] = *status;
+                logEvent(Event::EndpointSurveyed,
+                         {{"service", service.value()},
+                          {"endpoint", endpoint.value()},
+                          {"answered", status ? 1 : 0},
+                          {"primary", status && status->primary ? 1 : 0},
+                          {"term", status ? status->term.value() : 0},
+                          {"received", status ? status->received.number.value() : 0}});
+                if (--round->open == 0) {
+                    replacementOf(service)->handleSurvey(round->statuses, clock_.now());
+                    stepSoon(service);
+                }
+            });
     }
 }
 
@@ -769,8 +843,10 @@
              {{"service", service.value()}, {"endpoint", endpoint.value()}});
     promotions_.promote(service, endpoint, settings_.vm, duty_.fencingToken(), promotionTimeout,
                         [this, alive = alive_, service](PromotionOutcome outcome) {
-                            if (*alive)
-                                replacementOf(service)->handlePromoted(outcome, clock_.now());
+                            if (!*alive)
+                                return;
+                            replacementOf(service)->handlePromoted(outcome, clock_.now());
+                            stepSoon(service);
                         });
 }
 
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -21,19 +21,17 @@
 public:
     virtual ~TrafficPort() = default;
     /// The callback runs once the traffic thread obeys the view.
-    virtual void setView(std::shared_ptr<const DeploymentView> view, std::function<void()> obeyed)
-        = 0;
+    virtual void setView(std::shared_ptr<const DeploymentView> view,
+                         std::function<void()> obeyed) = 0;
     virtual void permitPrimaries(TimePoint until) = 0;
     /// A position that a peer learnt from the primary of that epoch.
     virtual void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
-                                    PositionHistory::Sample sample)
-        = 0;
+                                    PositionHistory::Sample sample) = 0;
     /// Whether this daemon asks primaries without traffic for their status.
     virtual void setProbing(bool probing) = 0;
     virtual void queryStatus(const ServiceName &service, const EndpointId &endpoint,
                              SessionStatement statement, Milliseconds timeout,
-                             Gateway::StatusCallback callback)
-        = 0;
+                             Gateway::StatusCallback callback) = 0;
 };
 
 struct FleetSettings
@@ -122,9 +120,11 @@
     std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
     void registerSelf();
     void tickService(const ServiceLimits &service, ServiceState &state);
+    void stepSoon(const ServiceName &service);
     void createRecord(const ServiceLimits &service, ServiceState &state);
     ReplacementInput collectInput(const ServiceLimits &service, const ServiceState &state) const;
     void execute(const ServiceName &service, const ReplacementCommand &command);
+    void logStep(const ServiceName &service, const ReplacementCommand &command) const;
     void takeDuty();
     void putServiceRecord(const ServiceRecord &record, ResourceVersion expected,
                           std::function<void(StoreOutcome<ResourceVersion>)> callback);
@@ -166,6 +166,7 @@
     TimePoint announcementUncertainUntil_{};
     ResourceVersion obeyedRecords_;
     bool viewScheduled_ = false;
+    unsigned viewsOnTheWay_ = 0;
     TimePoint lastExchange_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -51,9 +51,8 @@
     using Callback = std::function<void(std::variant<PeerReport, Error>)>;
 
     virtual ~PeerChannel() = default;
-    virtual void exchange(const SocketAddress &peer, const PeerReport &report,
-                          Milliseconds timeout, Callback callback)
-        = 0;
+    virtual void exchange(const SocketAddress &peer, const PeerReport &report, Milliseconds timeout,
+                          Callback callback) = 0;
 };
 
 } // namespace pistachiowood
--- a/src/takeover/platform_store.h
+++ b/src/takeover/platform_store.h
@@ -71,24 +71,20 @@
     using Callback = std::function<void(StoreOutcome<T>)>;
 
     virtual ~PlatformStore() = default;
-    virtual void list(ObjectGroup group, Milliseconds timeout, Callback<GroupSnapshot> callback)
-        = 0;
+    virtual void list(ObjectGroup group, Milliseconds timeout,
+                      Callback<GroupSnapshot> callback) = 0;
     /// Answers at the first change after the version, or empty after `wait`.
     virtual void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait,
-                       Milliseconds timeout, Callback<GroupChanges> callback)
-        = 0;
+                       Milliseconds timeout, Callback<GroupChanges> callback) = 0;
     /// The same as a watch of the records, while one is waiting.
     virtual void checkRecords(ResourceVersion from, Milliseconds wait, Milliseconds timeout,
-                              Callback<GroupChanges> callback)
-        = 0;
+                              Callback<GroupChanges> callback) = 0;
     /// Replaces a record of that version; without a version, creates it.
     virtual void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
                            const std::string &text, Milliseconds timeout,
-                           Callback<ResourceVersion> callback)
-        = 0;
+                           Callback<ResourceVersion> callback) = 0;
     virtual void deleteRecord(const std::string &name, Milliseconds timeout,
-                              Callback<ResourceVersion> callback)
-        = 0;
+                              Callback<ResourceVersion> callback) = 0;
 
     virtual Result<DeploymentConfiguration> decodeConfiguration(const StoredItem &item) = 0;
     /// The error says why the entry names no endpoint that can be used.
@@ -107,10 +103,9 @@
 {
 public:
     virtual ~PromotionService() = default;
-    virtual void promote(const ServiceName &service, const EndpointId &endpoint,
-                         const VmId &holder, std::uint64_t fencingToken, Milliseconds timeout,
-                         std::function<void(PromotionOutcome)> callback)
-        = 0;
+    virtual void promote(const ServiceName &service, const EndpointId &endpoint, const VmId &holder,
+                         std::uint64_t fencingToken, Milliseconds timeout,
+                         std::function<void(PromotionOutcome)> callback) = 0;
 };
 
 } // namespace pistachiowood
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds rankDelay{200};
 constexpr Milliseconds peerQuestionInterval{150};
 constexpr Milliseconds retryDelay{100};
+constexpr Milliseconds surveyInterval{50}; // of the endpoints' status while waiting for a change
 // Replicas that do not answer the survey by then are left out; a connect time-out is one second.
 constexpr Milliseconds surveyLimit{1200};
 // Wait for a replica to receive the end of a demoted primary's log: replicas are tens of
@@ -38,8 +39,8 @@
 {
     if (pending_ || !input.record || input.now < retryAt_)
         return std::nullopt;
-    const bool surelyOurs = stage_ == Stage::Watching || stage_ == Stage::TakingDuty
-        || stage_ == Stage::Announcing;
+    const bool surelyOurs =
+        stage_ == Stage::Watching || stage_ == Stage::TakingDuty || stage_ == Stage::Announcing;
     if (!surelyOurs && input.recordVersion > announcedVersion_) {
         reset(input.now); // another daemon has gone on with this service
         return std::nullopt;
@@ -78,16 +79,17 @@
 {
     if (input.record->replacing)
         return Reason::Unfinished;
-    const auto primary = std::find_if(
-        input.candidates.begin(), input.candidates.end(),
-        [&](const ReplacementCandidate &candidate) { return candidate.id == input.record->primary; });
+    const auto primary = std::find_if(input.candidates.begin(), input.candidates.end(),
+                                      [&](const ReplacementCandidate &candidate) {
+                                          return candidate.id == input.record->primary;
+                                      });
     if (primary == input.candidates.end())
         return input.registrationsCurrent && !input.candidates.empty() ? Reason::Failed
                                                                        : Reason::None;
     if (primary->draining) {
-        const bool successor = std::any_of(
-            input.candidates.begin(), input.candidates.end(),
-            [](const ReplacementCandidate &candidate) { return !candidate.draining; });
+        const bool successor =
+            std::any_of(input.candidates.begin(), input.candidates.end(),
+                        [](const ReplacementCandidate &candidate) { return !candidate.draining; });
         return successor ? Reason::Planned : Reason::None;
     }
     if (!input.primaryFailingSince || input.now - *input.primaryFailingSince < failureLimit)
@@ -104,9 +106,10 @@
     }
     if (reason == Reason::None)
         return std::nullopt;
-    const bool present = std::any_of(
-        input.candidates.begin(), input.candidates.end(),
-        [&](const ReplacementCandidate &candidate) { return candidate.id == input.record->primary; });
+    const bool present = std::any_of(input.candidates.begin(), input.candidates.end(),
+                                     [&](const ReplacementCandidate &candidate) {
+                                         return candidate.id == input.record->primary;
+                                     });
     Milliseconds delay = rankDelay * input.rank;
     if (reason == Reason::Unfinished && input.record->changedBy != self_)
         delay += unfinishedLimit;
@@ -179,6 +182,8 @@
         if (auto command = chooseFrom(input))
             return command;
     }
+    if (input.now < nextSurvey_)
+        return std::nullopt;
     std::vector<EndpointId> endpoints;
     for (const ReplacementCandidate &candidate : input.candidates)
         endpoints.push_back(candidate.id);
@@ -188,17 +193,17 @@
     return SurveyCommand{endpoints};
 }
 
-std::optional<ReplacementCommand>
-PrimaryReplacement::chooseFrom(const ReplacementInput &input)
+std::optional<ReplacementCommand> PrimaryReplacement::chooseFrom(const ReplacementInput &input)
 {
     Term newest;
     for (const auto &[id, status] : statuses_)
         newest = std::max(newest, status.term);
     const auto old = statuses_.find(oldPrimary_);
-    const bool oldDraining = std::any_of(
-        input.candidates.begin(), input.candidates.end(), [&](const ReplacementCandidate &candidate) {
-            return candidate.id == oldPrimary_ && candidate.draining;
-        });
+    const bool oldDraining =
+        std::any_of(input.candidates.begin(), input.candidates.end(),
+                    [&](const ReplacementCandidate &candidate) {
+                        return candidate.id == oldPrimary_ && candidate.draining;
+                    });
     // An earlier holder of the duty may have promoted an endpoint without publishing it, and a
     // primary that crashed may be back with its whole log.
     for (const auto &[id, status] : statuses_) {
@@ -214,8 +219,7 @@
         pending_ = true;
         return DemoteCommand{oldPrimary_, Term(newest.value() + 1)};
     }
-    const Milliseconds waited
-        = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_);
+    const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_);
     const ReplacementCandidate *best = nullptr;
     unsigned answered = 0;
     unsigned replicas = 0;
@@ -270,6 +274,8 @@
         enter(Stage::Surveying, input.now);
         return survey(input);
     }
+    if (input.now < nextSurvey_)
+        return std::nullopt;
     pending_ = true;
     return SurveyCommand{{chosen_}};
 }
@@ -314,7 +320,7 @@
     pending_ = false;
     for (const auto &[id, status] : statuses)
         statuses_[id] = status;
-    retryAt_ = now + retryDelay / 2;
+    nextSurvey_ = now + surveyInterval;
 }
 
 void PrimaryReplacement::handleDemoted(std::optional<EndpointStatus> status, TimePoint now)
@@ -335,7 +341,7 @@
     case PromotionOutcome::Accepted:
         statuses_.erase(chosen_);
         enter(Stage::Verifying, now);
-        retryAt_ = now + retryDelay;
+        nextSurvey_ = now + surveyInterval;
         break;
     case PromotionOutcome::NotRunning:
         notRunning_.insert(chosen_);
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -42,8 +42,12 @@
     unsigned syncReplicas = 0;
 };
 
-struct TakeDutyCommand { };
-struct AskPeersCommand { };
+struct TakeDutyCommand
+{
+};
+struct AskPeersCommand
+{
+};
 struct AnnounceCommand
 {
     ServiceRecord record;
@@ -65,9 +69,9 @@
 {
     ServiceRecord record;
 };
-using ReplacementCommand = std::variant<TakeDutyCommand, AskPeersCommand, AnnounceCommand,
-                                        SurveyCommand, DemoteCommand, PromoteCommand,
-                                        PublishCommand>;
+using ReplacementCommand =
+    std::variant<TakeDutyCommand, AskPeersCommand, AnnounceCommand, SurveyCommand, DemoteCommand,
+                 PromoteCommand, PublishCommand>;
 
 /// Replaces the primary of one service: decides when, withdraws every daemon's permission, chooses
 /// the endpoint with the longest log and publishes it. Free of I/O: step() returns the command to
@@ -100,6 +104,8 @@
     void handlePublished(bool published, TimePoint now);
 
     Stage stage() const { return stage_; }
+    /// Whether this daemon goes on with an announced replacement.
+    bool announced() const { return stage_ != Stage::Watching && stage_ != Stage::TakingDuty; }
 
 private:
     enum class Reason { None, Unfinished, Planned, Failed };
@@ -124,6 +130,7 @@
     TimePoint stageSince_{};
     bool pending_ = false;
     TimePoint retryAt_{};
+    TimePoint nextSurvey_{};
     TimePoint lastAsk_{};
     Reason reason_ = Reason::None;
     std::optional<TimePoint> reasonSince_;
