Remove lost members, probe suspected primaries from peers, drop announcements that are needless

A daemon that received SIGTERM stopped confirming its permission while it still served.

Change: one of the first daemons of a region removes a member without a sign of life for 4 s; a daemon without a member record gets no permission, and a replacement waits out the period after a removal. Peers ask a suspected primary for its status. The reason is checked again before the announcement. A daemon that leaves keeps its record and its permission.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -13,6 +13,7 @@
 constexpr int holdShareNumerator = 3;
 constexpr int holdShareDenominator = 4;
 constexpr Milliseconds busyRetryDelay{25}; // about the work of one statement
+constexpr unsigned maxRetryShift = 3;
 constexpr Milliseconds confirmLimit{1000}; // renewing the permission takes two exchanges at most
 constexpr std::size_t maxPipelined = 64; // statements that a caller may send ahead
 constexpr std::size_t maxSessionEntries = 256; // variables or prepared statements of one session
@@ -333,7 +334,8 @@
         giveUp(ReplyCode::Busy, "no endpoint can run the statement now");
         return;
     }
-    retryLater(busyRetryDelay);
+    // Longer from time to time: a lagging replica must not be asked over and over.
+    retryLater(busyRetryDelay * (1 << std::min(work_->holds++, maxRetryShift)));
 }
 
 void CallerSession::retryLater(Milliseconds delay)
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -79,6 +79,7 @@
         std::uint64_t primaryEpoch = 0;
         std::set<EndpointId> excluded;
         unsigned attempts = 0;
+        unsigned holds = 0; ///< times that no endpoint could run it
         LinkPrelude prelude;
         std::size_t preludePending = 0;
         std::optional<ReplyCode> preludeFailure;
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -38,6 +38,12 @@
 constexpr Milliseconds lateExecution{8000};
 // A daemon that has just joined is unknown to daemons that are cut off from the store.
 constexpr Milliseconds newcomerDelay{5000};
+// A VM without a sign of life for this long, and that misses as many exchanges, is taken out of the
+// member records by one of the first daemons of its region.
+constexpr Milliseconds lossLimit{4000};
+constexpr Milliseconds lossCheckInterval{500};
+constexpr unsigned lossFailures = 3;
+constexpr std::size_t lossWatchers = 2;
 constexpr Milliseconds reportLifetime{1000}; // after which a peer's evidence no longer counts
 constexpr Milliseconds reachedLately{700}; // primaries are probed every 500 ms
 constexpr Milliseconds failingLately{400};
@@ -94,12 +100,6 @@
 void FleetControl::leave()
 {
     leaving_ = true;
-    if (registered_) {
-        store_.deleteRecord(memberRecordName(settings_.vm), recordTimeout, [](const auto &outcome) {
-            if (std::holds_alternative<StoreFailure>(outcome))
-                logEvent(Event::MemberLeaving, {{"result", "the member record remains"}});
-        });
-    }
 }
 
 bool FleetControl::ready() const
@@ -178,7 +178,14 @@
                       {"version", item.version.value()}});
         }
     }
+    const bool removed = std::any_of(members_.begin(), members_.end(), [&](const auto &entry) {
+        return members.count(entry.first) == 0;
+    });
+    if (removed)
+        memberRemovedAt_ = now;
     members_ = std::move(members);
+    for (const auto &[vm, member] : members_)
+        peerStates_.try_emplace(vm, PeerState{.receivedAt = now});
     std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
     chooseConfirmers();
     scheduleView();
@@ -197,6 +204,7 @@
     }
     std::sort(region.begin(), region.end(),
               [&](const VmId &left, const VmId &right) { return weight(left) < weight(right); });
+    regionMembers_ = region;
     const std::size_t count = (region.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
     const auto place = static_cast<std::size_t>(
         std::find(region.begin(), region.end(), settings_.vm) - region.begin());
@@ -209,6 +217,9 @@
 
 void FleetControl::confirmRecords(TimePoint at)
 {
+    // A daemon that is not a member is not waited for when a primary is replaced.
+    if (!registered_)
+        return;
     permission_.confirm(at);
     // A view with the newest records must reach the traffic thread before the permission does.
     if (viewScheduled_)
@@ -298,14 +309,13 @@
 void FleetControl::tick()
 {
     const TimePoint now = clock_.now();
-    if (!leaving_) {
-        registerSelf();
-        tickConfirmation(now);
-        tickPeers(now);
-        if (configuration_ && feeds_.at(indexOf(ObjectGroup::Records))->loaded()) {
-            for (const ServiceLimits &service : configuration_->services)
-                tickService(service, services_[service.name]);
-        }
+    registerSelf();
+    tickConfirmation(now);
+    tickPeers(now);
+    removeLostMembers(now);
+    if (configuration_ && feeds_.at(indexOf(ObjectGroup::Records))->loaded()) {
+        for (const ServiceLimits &service : configuration_->services)
+            tickService(service, services_[service.name]);
     }
     loop_.startTimer(tickPeriod, [this, alive = alive_] {
         if (*alive)
@@ -405,6 +415,47 @@
     exchangeWithAll(true);
 }
 
+// A VM that is gone for good would delay each replacement and void the promises of the others. The
+// daemon that is removed by mistake finds its record missing and registers again.
+void FleetControl::removeLostMembers(TimePoint now)
+{
+    const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
+    const auto watchers = std::min(regionMembers_.size(), lossWatchers);
+    const bool watching
+        = std::find(regionMembers_.begin(),
+                    regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers), settings_.vm)
+        != regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers);
+    const bool storeSettled = !records.failing() && recordsReachable_ && records.healthySince()
+        && now - *records.healthySince() > lossLimit;
+    if (!watching || !storeSettled || now - lastLossCheck_ < lossCheckInterval)
+        return;
+    lastLossCheck_ = now;
+    for (const VmId &vm : regionMembers_) {
+        const auto state = peerStates_.find(vm);
+        const auto member = members_.find(vm);
+        if (state == peerStates_.end() || member == members_.end()
+            || now - state->second.receivedAt < lossLimit)
+            continue;
+        if (state->second.failures >= lossFailures)
+            removeMember(vm);
+        else
+            exchangeWith(vm, member->second.address, false, nullptr);
+    }
+}
+
+void FleetControl::removeMember(const VmId &vm)
+{
+    if (std::exchange(peerStates_[vm].removing, true))
+        return;
+    logEvent(Event::MemberDead, {{"vm", vm.value()}});
+    store_.deleteRecord(memberRecordName(vm), recordTimeout,
+                        [this, alive = alive_, vm](const auto &) {
+                            // The watch shows whether the record is gone.
+                            if (*alive && peerStates_.count(vm) > 0)
+                                peerStates_[vm].removing = false;
+                        });
+}
+
 void FleetControl::exchangeWithAll(bool wantPromise)
 {
     lastExchange_ = clock_.now();
@@ -436,9 +487,11 @@
                     [this, alive = alive_, vm, sentAt, round](const auto &outcome) {
                         if (!*alive)
                             return;
-                        if (const auto known = peerStates_.find(vm); known != peerStates_.end())
-                            known->second.exchanging = false;
                         const auto *answer = std::get_if<PeerReport>(&outcome);
+                        if (const auto known = peerStates_.find(vm); known != peerStates_.end()) {
+                            known->second.exchanging = false;
+                            known->second.failures = answer ? 0 : known->second.failures + 1;
+                        }
                         if (!answer)
                             return;
                         takeReport(*answer, sentAt, true);
@@ -530,9 +583,23 @@
     return old && !replacing && now >= announcementUncertainUntil_;
 }
 
+// A peer that misses a primary wants to know whether it answers here.
+void FleetControl::probeFor(const PeerReport &report)
+{
+    for (const PrimaryReport &primary : report.primaries) {
+        const PrimaryEvidence *own = ownEvidence(primary.service);
+        const bool recent = own && own->lastReply && clock_.now() - *own->lastReply < reachedLately / 2;
+        if (!primary.failingAge || recent)
+            continue;
+        traffic_.queryStatus(primary.service, primary.endpoint, {.verb = Verb::Status},
+                             surveyTimeout, [](const std::optional<EndpointStatus> &) {});
+    }
+}
+
 PeerReport FleetControl::handlePeerReport(const PeerReport &report)
 {
     takeReport(report, clock_.now(), false);
+    probeFor(report);
     PeerReport answer = makeReport();
     answer.copies = copiesFor(report);
     const TimePoint now = clock_.now();
@@ -561,9 +628,10 @@
         createRecord(service, state);
         return;
     }
-    if (!state.replacement) {
+    if (!state.replacement)
         state.replacement = std::make_unique<PrimaryReplacement>(service.name, settings_.vm);
-    }
+    if (leaving_ && !state.replacement->announced())
+        return; // others begin what is due
     if (const auto command = state.replacement->step(collectInput(service, state)))
         execute(service.name, *command);
 }
@@ -572,7 +640,7 @@
 void FleetControl::stepSoon(const ServiceName &service)
 {
     loop_.post([this, alive = alive_, service] {
-        if (!*alive || leaving_ || !configuration_)
+        if (!*alive || !configuration_)
             return;
         for (const ServiceLimits &limits : configuration_->services) {
             if (limits.name == service)
@@ -615,6 +683,9 @@
 {
     if (obeyedRecords_ < version)
         return false;
+    // A daemon whose record was removed lately may still rely on its last confirmation.
+    if (memberRemovedAt_ && clock_.now() - *memberRemovedAt_ < PrimaryPermission::period)
+        return false;
     return std::all_of(members_.begin(), members_.end(), [&](const auto &member) {
         const auto state = peerStates_.find(member.first);
         return state != peerStates_.end() && state->second.report
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -55,7 +55,8 @@
     ~FleetControl();
 
     void start();
-    /// Takes this daemon out of the member list.
+    /// Begins no further replacement of a primary. The member record stays: the daemon uses
+    /// primaries until its end, and most restart at once.
     void leave();
 
     /// Answers the report of a peer.
@@ -68,8 +69,10 @@
     struct PeerState
     {
         std::optional<PeerReport> report;
-        TimePoint receivedAt;
+        TimePoint receivedAt; ///< of the report, or of the member's record
         bool exchanging = false;
+        unsigned failures = 0; ///< exchanges in a row without an answer
+        bool removing = false;
     };
     /// How this daemon keeps its permission to use primaries.
     struct Confirmation
@@ -112,10 +115,13 @@
     void checkRecords(TimePoint now);
     void askConfirmer(TimePoint now);
     void tickPeers(TimePoint now);
+    void removeLostMembers(TimePoint now);
+    void removeMember(const VmId &vm);
     void exchangeWithAll(bool wantPromise);
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
     PeerReport makeReport() const;
+    void probeFor(const PeerReport &report);
     void takeReport(const PeerReport &report, TimePoint sentAt, bool answer);
     std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
     void registerSelf();
@@ -149,12 +155,14 @@
     std::optional<DeploymentConfiguration> configuration_;
     std::map<EndpointId, EndpointEntry> endpoints_;
     std::map<VmId, MemberRecord> members_; ///< without this daemon
+    std::vector<VmId> regionMembers_; ///< with this daemon, in the order of their weight
     Confirmation confirmation_;
     bool registered_ = false;
     bool registering_ = false;
     bool leaving_ = false;
     std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
     std::map<VmId, PeerState> peerStates_;
+    std::optional<TimePoint> memberRemovedAt_; ///< when the last member's record disappeared
     std::map<ServiceName, ServiceState> services_;
     std::map<ServiceName, PrimaryEvidence> evidence_;
     PrimaryPermission permission_;
@@ -168,6 +176,7 @@
     bool viewScheduled_ = false;
     unsigned viewsOnTheWay_ = 0;
     TimePoint lastExchange_{};
+    TimePoint lastLossCheck_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -17,6 +17,8 @@
 // Head start of each daemon before the next in rank acts on the same reason.
 constexpr Milliseconds rankDelay{200};
 constexpr Milliseconds peerQuestionInterval{150};
+// Peers without traffic to the primary ask it for its status first.
+constexpr Milliseconds peerEvidenceLimit{800};
 constexpr Milliseconds retryDelay{100};
 constexpr Milliseconds surveyInterval{50}; // of the endpoints' status while waiting for a change
 // Replicas that do not answer the survey by then are left out; a connect time-out is one second.
@@ -118,7 +120,7 @@
     if (reason == Reason::Failed && present) {
         // The partition may concern this daemon only: the primary goes if most lost it.
         const bool answered = input.peersReaching + input.peersFailing >= input.peersAsked;
-        const bool waited = input.now - *reasonSince_ >= peerQuestionInterval * 3;
+        const bool waited = input.now - *reasonSince_ >= peerEvidenceLimit;
         const bool most = input.peersFailing + 1 > input.peersReaching;
         if (!(answered || waited) || !most)
             return askPeers(input);
@@ -147,6 +149,10 @@
 
 std::optional<ReplacementCommand> PrimaryReplacement::announce(const ReplacementInput &input)
 {
+    if (findReason(input) == Reason::None) {
+        reset(input.now); // the primary has come back while the announcement waited
+        return std::nullopt;
+    }
     oldPrimary_ = input.record->primary;
     statuses_.clear();
     surveySince_.reset();
