Refuse after a quarter of the target while no replacement is announced

Cause: statements without a primary waited three quarters of their time-out for nothing when no replacement was under way. Change: hold() ends at a quarter of the target latency unless a replacement is announced.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -330,7 +330,13 @@
 {
     const TimePoint now = services_.clock().now();
     work_->stage = Stage::Holding;
-    if (now >= work_->holdUntil) {
+    // A replacement ends soon; without one, nothing says when the statement could run.
+    const ServiceView *service = services_.findService(route_.service);
+    const bool replacing = service && service->replacing;
+    const TimePoint limit = replacing
+        ? work_->holdUntil
+        : std::min(work_->holdUntil, work_->startedAt + route_.targetLatency / 4);
+    if (now >= limit) {
         giveUp(ReplyCode::Busy, "no endpoint can run the statement now");
         return;
     }
