Start sessions only with a configuration; notice changes that a watch does not bring

Change: after a failure a watch waits 0.1 s; confirmers check configuration and endpoints every 1.5 s beside the watches; a leaving primary gets no new work after half of the drain limit; copies between daemons are compared by the version of their last change.

--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -49,7 +49,10 @@
     void setView(std::shared_ptr<const DeploymentView> view, std::function<void()> obeyed) override
     {
         traffic.post([this, view = std::move(view), obeyed = std::move(obeyed)] {
+            const bool wasConfigured = gateway.configured();
             gateway.setView(view);
+            if (!wasConfigured)
+                callers->handleConfigured();
             control.post(obeyed);
         });
     }
--- a/src/daemon/session_daemon.h
+++ b/src/daemon/session_daemon.h
@@ -18,6 +18,8 @@
 public:
     virtual ~CallerListener() = default;
     virtual Result<void> listen() = 0;
+    /// The gateway has received a configuration; sessions that wait for it may start.
+    virtual void handleConfigured() = 0;
     virtual std::size_t openConnections() const = 0;
 };
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -260,6 +260,10 @@
     if (work_->excluded.count(*service->primary) > 0)
         return false;
     work_->pool = services_.findPool(route_.service, *service->primary);
+    const bool closed = work_->pool && work_->pool->endpoint().closedFrom
+                        && services_.clock().now() >= *work_->pool->endpoint().closedFrom;
+    if (closed)
+        return false;
     work_->after.reset();
     work_->primaryEpoch = service->primaryEpoch;
     return work_->pool != nullptr;
@@ -333,9 +337,9 @@
     // A replacement ends soon; without one, nothing says when the statement could run.
     const ServiceView *service = services_.findService(route_.service);
     const bool replacing = service && service->replacing;
-    const TimePoint limit = replacing
-        ? work_->holdUntil
-        : std::min(work_->holdUntil, work_->startedAt + route_.targetLatency / 4);
+    const TimePoint limit =
+        replacing ? work_->holdUntil
+                  : std::min(work_->holdUntil, work_->startedAt + route_.targetLatency / 4);
     if (now >= limit) {
         giveUp(ReplyCode::Busy, "no endpoint can run the statement now");
         return;
--- a/src/gateway/deployment.h
+++ b/src/gateway/deployment.h
@@ -69,6 +69,7 @@
     unsigned slots = 1;
     bool draining = false;
     unsigned distance = 0; ///< 0 own zone, 1 own region, 2 another region
+    std::optional<TimePoint> closedFrom; ///< when a leaving endpoint gets no new work any more
 };
 
 /// One service as the traffic thread uses it.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,8 @@
     /// Whether this daemon asks primaries without traffic for their status, for its peers as well.
     void setProbing(bool probing) { probing_ = probing; }
 
+    /// True once a configuration is known; before that no database can be called unknown.
+    bool configured() const { return view_->configurationVersion != 0; }
     /// Opens a session with a database; nullopt if no route has the name.
     std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
     void handleStatement(SessionId session, SessionStatement statement);
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -124,7 +124,7 @@
         reply.position = position(link.endpoint);
         const bool begins = statement.verb == Verb::Begin || statement.verb == Verb::BeginReadOnly;
         const bool runs = statement.verb == Verb::Read || statement.verb == Verb::Write
-            || statement.verb == Verb::Execute || statement.verb == Verb::Commit;
+                          || statement.verb == Verb::Execute || statement.verb == Verb::Commit;
         if (begins && beginFailures.count(link.endpoint) > 0)
             reply.failure = beginFailures[link.endpoint];
         else if (begins)
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -243,7 +243,8 @@
     clock.advance(1ms);
     execute(makeStatement(Verb::Read));
     const auto &last = endpoints.sent.back();
-    const bool covered = last.endpoint == primary
+    const bool covered =
+        last.endpoint == primary
         || (last.statement.after && last.statement.after->number == LogPosition(7));
     CHECK_TRUE(covered);
 }
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -18,6 +18,7 @@
 // a permission.
 constexpr Milliseconds checkPeriod{500};
 constexpr Milliseconds checkTimeout{1200};
+constexpr Milliseconds objectsCheckInterval{1500}; // a change must be in force within 3 s
 constexpr Milliseconds confirmerInterval{500};
 constexpr std::size_t daemonsPerConfirmer = 16; // keeps a confirmer's load at 32 questions a second
 constexpr unsigned confirmerMisses = 2; // after which a daemon asks the store itself
@@ -138,6 +139,14 @@
         const auto &entry = std::get<EndpointEntry>(decoded);
         endpoints.emplace(entry.id, entry);
     }
+    std::erase_if(drainingSince_, [&](const auto &entry) {
+        const auto found = endpoints.find(entry.first);
+        return found == endpoints.end() || !found->second.draining;
+    });
+    for (const auto &[id, entry] : endpoints) {
+        if (entry.draining)
+            drainingSince_.try_emplace(id, clock_.now());
+    }
     endpoints_ = std::move(endpoints);
     scheduleView();
 }
@@ -283,8 +292,11 @@
         const auto service = view->services.find(entry.service);
         if (service == view->services.end())
             continue;
-        service->second.endpoints.push_back(
-            {id, entry.address, entry.slots, entry.draining, distanceTo(entry.zone)});
+        EndpointView &endpoint = service->second.endpoints.emplace_back();
+        endpoint = {id, entry.address, entry.slots, entry.draining, distanceTo(entry.zone)};
+        // Half of the limit covers the time until this daemon learnt of it.
+        if (const auto since = drainingSince_.find(id); since != drainingSince_.end())
+            endpoint.closedFrom = since->second + settings_.drainLimit / 2;
     }
     ++viewsOnTheWay_;
     traffic_.setView(view, [this, alive = alive_, version = view->recordsVersion] {
@@ -369,20 +381,40 @@
         return;
     confirmation_.checking = true;
     confirmation_.lastAsked = now;
-    store_.checkRecords(records.version(), checkPeriod, checkTimeout,
-                        [this, alive = alive_, now](const StoreOutcome<GroupChanges> &outcome) {
-                            if (!*alive)
-                                return;
-                            confirmation_.checking = false;
-                            const auto *changes = std::get_if<GroupChanges>(&outcome);
-                            recordsReachable_ = changes != nullptr;
-                            if (!changes)
-                                return;
-                            auto &feed = *feeds_.at(indexOf(ObjectGroup::Records));
-                            feed.takeChanges(*changes);
-                            if (feed.version() >= changes->version)
-                                confirmRecords(now);
-                        });
+    if (now - confirmation_.lastObjects >= objectsCheckInterval) {
+        confirmation_.lastObjects = now;
+        checkObjects(ObjectGroup::Configuration);
+        checkObjects(ObjectGroup::Endpoints);
+    }
+    store_.check(ObjectGroup::Records, records.version(), checkPeriod, checkTimeout,
+                 [this, alive = alive_, now](const StoreOutcome<GroupChanges> &outcome) {
+                     if (!*alive)
+                         return;
+                     confirmation_.checking = false;
+                     const auto *changes = std::get_if<GroupChanges>(&outcome);
+                     recordsReachable_ = changes != nullptr;
+                     if (!changes)
+                         return;
+                     auto &feed = *feeds_.at(indexOf(ObjectGroup::Records));
+                     feed.takeChanges(*changes);
+                     if (feed.version() >= changes->version)
+                         confirmRecords(now);
+                 });
+}
+
+// A watch may hear nothing for long; the other daemons learn of the change from the confirmers.
+void FleetControl::checkObjects(ObjectGroup group)
+{
+    auto &feed = *feeds_.at(indexOf(group));
+    if (!feed.loaded())
+        return;
+    store_.check(group, feed.version(), Milliseconds(0), checkTimeout,
+                 [this, alive = alive_, group](const StoreOutcome<GroupChanges> &outcome) {
+                     if (!*alive)
+                         return;
+                     if (const auto *changes = std::get_if<GroupChanges>(&outcome))
+                         feeds_.at(indexOf(group))->takeChanges(*changes);
+                 });
 }
 
 void FleetControl::askConfirmer(TimePoint now)
@@ -429,12 +461,12 @@
 {
     const auto &records = *feeds_.at(indexOf(ObjectGroup::Records));
     const auto watchers = std::min(regionMembers_.size(), lossWatchers);
-    const bool watching
-        = std::find(regionMembers_.begin(),
-                    regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers), settings_.vm)
+    const bool watching =
+        std::find(regionMembers_.begin(),
+                  regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers), settings_.vm)
         != regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers);
     const bool storeSettled = !records.failing() && recordsReachable_ && records.healthySince()
-        && now - *records.healthySince() > lossLimit;
+                              && now - *records.healthySince() > lossLimit;
     if (!watching || !storeSettled || now - lastLossCheck_ < lossCheckInterval)
         return;
     lastLossCheck_ = now;
@@ -486,8 +518,8 @@
 void FleetControl::exchangeWithSome()
 {
     lastExchange_ = clock_.now();
-    const VmId &confirmer
-        = confirmation_.confirmers.at(random_.below(confirmation_.confirmers.size()));
+    const VmId &confirmer =
+        confirmation_.confirmers.at(random_.below(confirmation_.confirmers.size()));
     const auto chosen = members_.find(confirmer);
     if (chosen != members_.end())
         exchangeWith(confirmer, chosen->second.address, false, nullptr);
@@ -506,8 +538,8 @@
     report.promise = wantPromise;
     // Copies go with answers; only an announcement is worth sending unasked.
     const bool tells = round == nullptr && state.report
-        && state.report->versions.at(indexOf(ObjectGroup::Records))
-            < feeds_.at(indexOf(ObjectGroup::Records))->version();
+                       && state.report->versions.at(indexOf(ObjectGroup::Records))
+                              < feeds_.at(indexOf(ObjectGroup::Records))->contentVersion();
     if (tells) {
         report.copies.push_back(
             {ObjectGroup::Records, feeds_.at(indexOf(ObjectGroup::Records))->snapshot()});
@@ -547,7 +579,7 @@
     PeerReport report;
     report.vm = settings_.vm;
     for (std::size_t i = 0; i < objectGroupCount; ++i)
-        report.versions.at(i) = feeds_.at(i)->version();
+        report.versions.at(i) = feeds_.at(i)->contentVersion();
     report.obeyedRecords = obeyedRecords_;
     if (const auto confirmed = permission_.confirmedAt())
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
@@ -574,7 +606,7 @@
     std::vector<GroupCopy> copies;
     for (std::size_t i = 0; i < objectGroupCount; ++i) {
         const auto &feed = *feeds_.at(i);
-        if (feed.loaded() && feed.version() > peer.versions.at(i))
+        if (feed.loaded() && feed.contentVersion() > peer.versions.at(i))
             copies.push_back({static_cast<ObjectGroup>(i), feed.snapshot()});
     }
     return copies;
@@ -599,7 +631,7 @@
     // The sender's confirmation covers this daemon only if its records are as new.
     const std::size_t records = indexOf(ObjectGroup::Records);
     if (answer && report.confirmedAge
-        && feeds_.at(records)->version() >= report.versions.at(records))
+        && feeds_.at(records)->contentVersion() >= report.versions.at(records))
         confirmRecords(sentAt - *report.confirmedAge);
 }
 
@@ -618,7 +650,8 @@
 {
     for (const PrimaryReport &primary : report.primaries) {
         const PrimaryEvidence *own = ownEvidence(primary.service);
-        const bool recent = own && own->lastReply && clock_.now() - *own->lastReply < reachedLately / 2;
+        const bool recent =
+            own && own->lastReply && clock_.now() - *own->lastReply < reachedLately / 2;
         if (!primary.failingAge || recent)
             continue;
         traffic_.queryStatus(primary.service, primary.endpoint, {.verb = Verb::Status},
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -40,6 +40,7 @@
     ZoneName zone;
     RegionName region;
     std::map<ZoneName, RegionName> regions; ///< of every zone
+    Milliseconds drainLimit{7000}; ///< after which a leaving endpoint gets no new work
     SocketAddress peerAddress; ///< where the peers reach this daemon
     std::vector<SocketAddress> seeds; ///< daemons to ask while the store is away at the start
 };
@@ -83,6 +84,7 @@
         std::size_t next = 0; ///< index of the confirmer to ask
         unsigned misses = 0; ///< answers without a recent confirmation
         TimePoint lastAsked{};
+        TimePoint lastObjects{}; ///< last check of configuration and endpoints
         TimePoint selfUntil{}; ///< asks the store itself until then
     };
     struct ServiceState
@@ -113,6 +115,7 @@
     void chooseConfirmers();
     void tickConfirmation(TimePoint now);
     void checkRecords(TimePoint now);
+    void checkObjects(ObjectGroup group);
     void askConfirmer(TimePoint now);
     void tickPeers(TimePoint now);
     void removeLostMembers(TimePoint now);
@@ -155,6 +158,7 @@
     std::array<std::unique_ptr<GroupFeed>, objectGroupCount> feeds_;
     std::optional<DeploymentConfiguration> configuration_;
     std::map<EndpointId, EndpointEntry> endpoints_;
+    std::map<EndpointId, TimePoint> drainingSince_; ///< when this daemon learnt that it leaves
     std::map<VmId, MemberRecord> members_; ///< without this daemon
     std::vector<VmId> regionMembers_; ///< with this daemon, in the order of their weight
     Confirmation confirmation_;
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -30,22 +30,27 @@
         });
     }
 
-    void watch(ObjectGroup group, ResourceVersion, Milliseconds, Milliseconds,
+    void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
                Callback<GroupChanges> callback) override
     {
-        watches.at(static_cast<std::size_t>(group)) = std::move(callback);
+        if (wait < 1s)
+            check(group, from, wait, wait, std::move(callback));
+        else if (down)
+            loop.startTimer(1ms, [callback] { callback(StoreFailure::Refused); });
+        else
+            watches.at(static_cast<std::size_t>(group)) = std::move(callback);
     }
 
-    void checkRecords(ResourceVersion from, Milliseconds wait, Milliseconds,
-                      Callback<GroupChanges> callback) override
+    void check(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
+               Callback<GroupChanges> callback) override
     {
-        loop.startTimer(down ? 1ms : wait / 10, [this, from, callback] {
+        loop.startTimer(down ? 1ms : wait / 10, [this, group, from, callback] {
             if (down) {
                 callback(StoreFailure::Refused);
                 return;
             }
             GroupChanges changes{version, {}};
-            for (const auto &[name, item] : groups.at(2)) {
+            for (const auto &[name, item] : groups.at(static_cast<std::size_t>(group))) {
                 if (item.version > from)
                     changes.changes.push_back({item, false});
             }
@@ -54,13 +59,14 @@
     }
 
     void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
-                   const std::string &text, Milliseconds, Callback<ResourceVersion> callback) override
+                   const std::string &text, Milliseconds,
+                   Callback<ResourceVersion> callback) override
     {
         loop.post([this, name, expected, text, callback] {
             const auto found = groups.at(2).find(name);
             const bool matches = found == groups.at(2).end()
-                ? !expected
-                : expected && found->second.version == *expected;
+                                     ? !expected
+                                     : expected && found->second.version == *expected;
             if (down || !matches) {
                 callback(down ? StoreFailure::Refused : StoreFailure::Conflict);
                 return;
@@ -70,7 +76,8 @@
         });
     }
 
-    void deleteRecord(const std::string &, Milliseconds, Callback<ResourceVersion> callback) override
+    void deleteRecord(const std::string &, Milliseconds,
+                      Callback<ResourceVersion> callback) override
     {
         callback(version);
     }
@@ -85,7 +92,7 @@
 
     Result<EndpointEntry> decodeEndpoint(const StoredItem &item) override
     {
-        return EndpointEntry{EndpointId(item.name), ServiceName("db"), {}, ZoneName("z"), 1,
+        return EndpointEntry{EndpointId(item.name),   ServiceName("db"), {}, ZoneName("z"), 1,
                              item.text == "draining", item.name == "p"};
     }
 
@@ -95,6 +102,8 @@
         const auto index = static_cast<std::size_t>(group);
         const StoredItem item{name, version, text};
         groups.at(index)[name] = item;
+        if (deaf)
+            return;
         if (auto callback = std::exchange(watches.at(index), nullptr))
             loop.post([callback, item] { callback(GroupChanges{item.version, {{item, false}}}); });
     }
@@ -104,6 +113,7 @@
     std::array<std::map<std::string, StoredItem>, objectGroupCount> groups;
     std::array<Callback<GroupChanges>, objectGroupCount> watches;
     bool down = false;
+    bool deaf = false; ///< watches hear nothing
 };
 
 /// Peers, promotions and the traffic thread of one daemon, as a script.
@@ -140,15 +150,16 @@
         loop.post([callback] { callback(PromotionOutcome::Accepted); });
     }
 
-    void setView(std::shared_ptr<const DeploymentView> newView, std::function<void()> obeyed) override
+    void setView(std::shared_ptr<const DeploymentView> newView,
+                 std::function<void()> obeyed) override
     {
         view = std::move(newView);
         loop.post(std::move(obeyed));
     }
 
     void permitPrimaries(TimePoint until) override { permittedUntil = until; }
-    void recordPeerPosition(const ServiceName &, std::uint64_t, PositionHistory::Sample) override { }
-    void setProbing(bool) override { }
+    void recordPeerPosition(const ServiceName &, std::uint64_t, PositionHistory::Sample) override {}
+    void setProbing(bool) override {}
 
     void queryStatus(const ServiceName &, const EndpointId &endpoint, SessionStatement statement,
                      Milliseconds, Gateway::StatusCallback callback) override
@@ -210,7 +221,10 @@
         running.run();
     }
 
-    const ServiceView &service() { return around.view->services.at(ServiceName("db")); }
+    const ServiceView &service()
+    {
+        return around.view->services.at(ServiceName("db"));
+    }
 };
 
 // Guards against a daemon without primaries at the first start, and without permission.
@@ -236,6 +250,37 @@
     CHECK_TRUE(service().primary == EndpointId("r"));
 }
 
+// Guards against the failure of the incident on ktw-cutlists (DRAIN): watches that hear nothing
+// hid a leaving primary from all daemons for five seconds.
+TEST(FleetControl, deafWatchDoesNotHideALeavingPrimary)
+{
+    start(true);
+    settle(500ms);
+    store.deaf = true;
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    settle(3500ms);
+    LONGS_EQUAL(1, around.promotions.size());
+}
+
+// Guards against the delay seen in the incident on ktw-cutlists: after an outage the waiting watch
+// of the records counted as failing for up to 20 s, and nothing was replaced meanwhile.
+TEST(FleetControl, replacementFollowsSoonAfterAnOutage)
+{
+    start(true);
+    settle(300ms);
+    store.down = true;
+    for (auto &watch : store.watches) {
+        if (auto callback = std::exchange(watch, nullptr))
+            callback(StoreFailure::Refused);
+    }
+    settle(500ms);
+    store.down = false;
+    settle(1500ms);
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    settle(4000ms);
+    LONGS_EQUAL(1, around.promotions.size());
+}
+
 // Guards against a promotion before a daemon that cannot be told has lost its permission.
 TEST(FleetControl, unreachablePeerIsWaitedOut)
 {
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Milliseconds listTimeout{2000}; // a slow store answers within a few hundred milliseconds
+constexpr Milliseconds recoveryPeriod{100};
 constexpr Milliseconds answerSlack{700}; // time beyond the wait of a watch until it counts as lost
 // Full jitter below these limits: a store that returns is not met by all daemons at once.
 constexpr Milliseconds firstRetry{100};
@@ -54,7 +55,9 @@
 void GroupFeed::watch()
 {
     const TimePoint sentAt = clock_.now();
-    store_.watch(group_, version_, watchPeriod_, watchPeriod_ + answerSlack,
+    // After a failure a short watch shows soon that the store answers again.
+    const Milliseconds period = failing_ ? recoveryPeriod : watchPeriod_;
+    store_.watch(group_, version_, period, period + answerSlack,
                  [this, alive = alive_, sentAt](auto outcome) {
                      if (*alive)
                          handleChanges(sentAt, std::move(outcome));
@@ -108,6 +111,9 @@
             items_[item.name] = item;
     }
     version_ = changes.version;
+    // Own changes are known before their event, and count with it.
+    if (!changes.changes.empty())
+        contentVersion_ = changes.version;
     if (changed)
         handlers_.changed();
 }
@@ -148,12 +154,13 @@
 
 bool GroupFeed::takeSnapshot(const GroupSnapshot &snapshot)
 {
-    if (snapshot.version <= version_ && loaded_)
+    if (snapshot.version <= contentVersion_ && loaded_)
         return false;
     items_.clear();
     for (const StoredItem &item : snapshot.items)
         items_[item.name] = item;
-    version_ = snapshot.version;
+    contentVersion_ = snapshot.version;
+    version_ = std::max(version_, snapshot.version);
     loaded_ = true;
     listNeeded_ = false;
     handlers_.changed();
@@ -171,7 +178,7 @@
 
 GroupSnapshot GroupFeed::snapshot() const
 {
-    GroupSnapshot copy{version_, {}};
+    GroupSnapshot copy{contentVersion_, {}};
     for (const auto &[name, item] : items_)
         copy.items.push_back(item);
     return copy;
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -39,6 +39,8 @@
 
     const std::map<std::string, StoredItem> &items() const { return items_; }
     ResourceVersion version() const { return version_; }
+    /// Version with which the content last changed; copies of equal content are not exchanged.
+    ResourceVersion contentVersion() const { return contentVersion_; }
     GroupSnapshot snapshot() const;
     /// Whether the last call to the store failed.
     bool failing() const { return failing_; }
@@ -65,6 +67,7 @@
     Handlers handlers_;
     std::map<std::string, StoredItem> items_;
     ResourceVersion version_;
+    ResourceVersion contentVersion_;
     bool loaded_ = false;
     bool listNeeded_ = true;
     bool failing_ = false;
--- a/src/takeover/platform_store.h
+++ b/src/takeover/platform_store.h
@@ -76,9 +76,9 @@
     /// Answers at the first change after the version, or empty after `wait`.
     virtual void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait,
                        Milliseconds timeout, Callback<GroupChanges> callback) = 0;
-    /// The same as a watch of the records, while one is waiting.
-    virtual void checkRecords(ResourceVersion from, Milliseconds wait, Milliseconds timeout,
-                              Callback<GroupChanges> callback) = 0;
+    /// The same as a watch, while one is waiting; one check of a group at a time.
+    virtual void check(ObjectGroup group, ResourceVersion from, Milliseconds wait,
+                       Milliseconds timeout, Callback<GroupChanges> callback) = 0;
     /// Replaces a record of that version; without a version, creates it.
     virtual void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
                            const std::string &text, Milliseconds timeout,
