--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -112,7 +112,9 @@
 
 void FleetControl::handleConfiguration()
 {
-    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Configuration))->items()) {
+    for (const auto &stored : feeds_.at(indexOf(ObjectGroup::Configuration))->items()) {
+        const std::string &name = stored.first;
+        const StoredItem &item = stored.second;
         const auto decoded = capture([&] { return store_.decodeConfiguration(item); });
         if (const auto *error = std::get_if<Error>(&decoded)) {
             logEvent(Event::ObjectInvalid, {{"name", name}, {"reason", error->message}});
@@ -130,7 +132,9 @@
 void FleetControl::handleEndpoints()
 {
     std::map<EndpointId, EndpointEntry> endpoints;
-    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Endpoints))->items()) {
+    for (const auto &stored : feeds_.at(indexOf(ObjectGroup::Endpoints))->items()) {
+        const std::string &name = stored.first;
+        const StoredItem &item = stored.second;
         const auto decoded = capture([&] { return store_.decodeEndpoint(item); });
         if (const auto *error = std::get_if<Error>(&decoded)) {
             logEvent(Event::ObjectRefused, {{"name", name}, {"reason", error->message}});
@@ -156,7 +160,9 @@
     const TimePoint now = clock_.now();
     std::map<VmId, MemberRecord> members;
     registered_ = false;
-    for (const auto &[name, item] : feeds_.at(indexOf(ObjectGroup::Records))->items()) {
+    for (const auto &stored : feeds_.at(indexOf(ObjectGroup::Records))->items()) {
+        const std::string &name = stored.first;
+        const StoredItem &item = stored.second;
         const RecordKind kind = recordKindOf(name);
         if (kind == RecordKind::Member) {
             const auto decoded = capture([&] { return decodeMemberRecord(item.text); });
