Name the events of replacements after what they report; keep a transaction without its connection closed

Cause: events 1508 and 1510 spoke of admission and probes, which the platform's replacement does not have, and groups of objects were logged as numbers. Ruled out: a change of behaviour otherwise; Gateway and log tests pass (21 and 17).

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -40,6 +40,8 @@
           "service status could not be published; trying again")                                           \
     EVENT(ReplacementStep, 1513, Info, "step of a replacement of a primary")                               \
     EVENT(EndpointSurveyed, 1514, Info, "status of an endpoint in a replacement")                          \
+    EVENT(PrimaryRecorded, 1515, Info, "primary of a service as the store records it")                     \
+    EVENT(PromotionOrdered, 1516, Info, "promotion ordered from the platform")                             \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -232,6 +232,11 @@
         startPrelude();
         return;
     }
+    if (transaction_ && transaction_->opened) {
+        // Without its connection a statement of the transaction would run on its own.
+        giveUp(ReplyCode::Aborted, "the connection to the endpoint was lost");
+        return;
+    }
     const bool chosen = needsPrimary() ? choosePrimary() : chooseReplica();
     if (!chosen)
         hold();
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -188,7 +188,7 @@
             state.record = *record;
             state.recordVersion = item.version;
             state.recordSince = now;
-            logEvent(record->replacing ? Event::PromotionStarted : Event::PrimaryAdopted,
+            logEvent(record->replacing ? Event::PromotionStarted : Event::PrimaryRecorded,
                      {{"service", record->service.value()},
                       {"primary", record->primary.value()},
                       {"by", record->changedBy.value()},
@@ -979,7 +979,7 @@
         replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
         return;
     }
-    logEvent(Event::SwitchoverStarted,
+    logEvent(Event::PromotionOrdered,
              {{"service", service.value()}, {"endpoint", endpoint.value()}});
     promotions_.promote(service, endpoint, settings_.vm, duty_.fencingToken(), promotionTimeout,
                         [this, alive = alive_, service](PromotionOutcome outcome) {
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -3,6 +3,8 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace pistachiowood {
 
@@ -15,6 +17,20 @@
 constexpr Milliseconds firstRetry{100};
 constexpr Milliseconds longestRetry{800};
 
+std::string_view groupName(ObjectGroup group)
+{
+    constexpr std::array<std::string_view, objectGroupCount> names{"configuration", "endpoints",
+                                                                   "records"};
+    return names.at(static_cast<std::size_t>(group));
+}
+
+std::string_view failureName(StoreFailure failure)
+{
+    constexpr std::array<std::string_view, 5> names{"refused", "no answer", "history gone",
+                                                    "conflict", "not found"};
+    return names.at(static_cast<std::size_t>(failure));
+}
+
 } // namespace
 
 GroupFeed::GroupFeed(EventLoop &loop, const Clock &clock, RandomSource &random,
@@ -124,7 +140,7 @@
     if (!healthySince_)
         healthySince_ = clock_.now();
     if (std::exchange(failing_, false))
-        logEvent(Event::PlatformRecovered, {{"group", static_cast<int>(group_)}});
+        logEvent(Event::PlatformRecovered, {{"group", groupName(group_)}});
 }
 
 void GroupFeed::handleFailure(StoreFailure failure)
@@ -137,7 +153,7 @@
     healthySince_.reset();
     if (!std::exchange(failing_, true)) {
         logEvent(Event::PlatformUnavailable,
-                 {{"group", static_cast<int>(group_)}, {"failure", static_cast<int>(failure)}});
+                 {{"group", groupName(group_)}, {"failure", failureName(failure)}});
     }
     retryLater();
 }
