Give four types of the platform's slices names of their own

Cause: MemberRecord, ServiceRecord, EndpointStatus and ReadCandidate were each defined twice in one namespace with different layouts. The linker keeps one destructor and copy for both: nm shows a single MemberRecord::~MemberRecord in unit_tests, which links both slices. Ruled out: a namespace for each slice, which the project does not use.

Behaviour is unchanged: 343 unit tests pass.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -293,11 +293,11 @@
         age = std::chrono::duration_cast<Milliseconds>(now - ownCommit_->at);
     }
     const bool permitted = services_.primariesPermitted();
-    std::vector<ReadCandidate> candidates;
+    std::vector<EndpointCandidate> candidates;
     for (const EndpointView &endpoint : service->endpoints) {
         LinkPool *pool = services_.findPool(route_.service, endpoint.id);
         const LinkPoolHealth health = pool ? pool->health() : LinkPoolHealth{};
-        ReadCandidate candidate;
+        EndpointCandidate candidate;
         candidate.primary = service->primary == endpoint.id;
         candidate.usable = pool && pool->usable() && !endpoint.draining
                            && work_->excluded.count(endpoint.id) == 0
@@ -315,7 +315,7 @@
     auto chosen = chooseReadEndpoint(candidates);
     if (!chosen && after) {
         // No endpoint is expected to be fresh enough; a replica may have caught up meanwhile.
-        for (ReadCandidate &candidate : candidates)
+        for (EndpointCandidate &candidate : candidates)
             candidate.expectedFresh = true;
         chosen = chooseReadEndpoint(candidates);
     }
--- a/src/gateway/endpoint_link.h
+++ b/src/gateway/endpoint_link.h
@@ -47,7 +47,7 @@
                                                const EndpointView &endpoint,
                                                EndpointLinkListener &listener) = 0;
     /// Reads the answer to a Status or Demote statement.
-    virtual std::optional<EndpointStatus> decodeStatus(const StatementReply &reply) = 0;
+    virtual std::optional<ReplicationStatus> decodeStatus(const StatementReply &reply) = 0;
 };
 
 } // namespace pistachiowood
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,7 +78,7 @@
     }
 
 private:
-    void finish(std::optional<EndpointStatus> status)
+    void finish(std::optional<ReplicationStatus> status)
     {
         const auto self = std::move(gateway_.queries_.extract(id_).mapped());
         gateway_.loop_.post([callback = std::move(callback_), status] { callback(status); });
@@ -353,7 +353,7 @@
             continue;
         last = now;
         queryStatus(service.name, endpoint.id, {.verb = Verb::Status}, probeTimeout,
-                    [](const std::optional<EndpointStatus> &) {});
+                    [](const std::optional<ReplicationStatus> &) {});
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,7 +28,7 @@
 class Gateway final : private GatewayServices
 {
 public:
-    using StatusCallback = std::function<void(std::optional<EndpointStatus>)>;
+    using StatusCallback = std::function<void(std::optional<ReplicationStatus>)>;
     using EvidenceHandler = std::function<void(std::vector<PrimaryEvidence>)>;
     using SessionId = std::uint64_t;
 
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -70,7 +70,7 @@
         return link;
     }
 
-    std::optional<EndpointStatus> decodeStatus(const StatementReply &) override
+    std::optional<ReplicationStatus> decodeStatus(const StatementReply &) override
     {
         return std::nullopt;
     }
--- a/src/gateway/read_choice.cpp
+++ b/src/gateway/read_choice.cpp
@@ -19,7 +19,7 @@
 // Time for which an observed lag counts; replicas catch up within some hundred milliseconds.
 constexpr Milliseconds lagLifetime{500};
 
-double expectedCost(const ReadCandidate &candidate)
+double expectedCost(const EndpointCandidate &candidate)
 {
     const double queue = static_cast<double>(candidate.inUse + candidate.waiting)
                          / static_cast<double>(std::max<std::size_t>(candidate.limit, 1));
@@ -30,12 +30,12 @@
 
 } // namespace
 
-std::optional<std::size_t> chooseReadEndpoint(std::span<const ReadCandidate> candidates)
+std::optional<std::size_t> chooseReadEndpoint(std::span<const EndpointCandidate> candidates)
 {
     std::optional<std::size_t> best;
     double bestCost = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const ReadCandidate &candidate = candidates[i];
+        const EndpointCandidate &candidate = candidates[i];
         if (!candidate.usable || !candidate.expectedFresh)
             continue;
         const double cost = expectedCost(candidate);
--- a/src/gateway/read_choice.h
+++ b/src/gateway/read_choice.h
@@ -11,7 +11,7 @@
 namespace pistachiowood {
 
 /// One endpoint that could answer a read.
-struct ReadCandidate
+struct EndpointCandidate
 {
     bool usable = false; ///< reachable and not excluded
     bool primary = false;
@@ -25,7 +25,7 @@
 
 /// Index of the endpoint with the lowest expected cost: time until the reply plus the price of the
 /// distance, expressed as time.
-std::optional<std::size_t> chooseReadEndpoint(std::span<const ReadCandidate> candidates);
+std::optional<std::size_t> chooseReadEndpoint(std::span<const EndpointCandidate> candidates);
 
 /// What this daemon knows about how far one replica is behind. Knowledge that is old counts for
 /// nothing: a replica without reads would never be tried again, and an attempt costs no slot.
--- a/src/gateway/read_choice_test.cpp
+++ b/src/gateway/read_choice_test.cpp
@@ -17,9 +17,9 @@
 // Guards against bytes between regions while an endpoint nearby is about as fast.
 TEST(ReadChoice, prefersNearEndpointUntilItIsBusy)
 {
-    std::array<ReadCandidate, 2> candidates{
-        ReadCandidate{.usable = true, .expectedFresh = true, .distance = 0, .latency = 30ms},
-        ReadCandidate{.usable = true, .expectedFresh = true, .distance = 2, .latency = 30ms}};
+    std::array<EndpointCandidate, 2> candidates{
+        EndpointCandidate{.usable = true, .expectedFresh = true, .distance = 0, .latency = 30ms},
+        EndpointCandidate{.usable = true, .expectedFresh = true, .distance = 2, .latency = 30ms}};
     LONGS_EQUAL(0, chooseReadEndpoint(candidates).value());
     candidates[0].waiting = 20;
     LONGS_EQUAL(1, chooseReadEndpoint(candidates).value());
--- a/src/gateway/statement.h
+++ b/src/gateway/statement.h
@@ -76,7 +76,7 @@
 };
 
 /// What an endpoint says of itself.
-struct EndpointStatus
+struct ReplicationStatus
 {
     bool primary = false;
     Term term;
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -158,15 +158,15 @@
 void FleetControl::handleRecords()
 {
     const TimePoint now = clock_.now();
-    std::map<VmId, MemberRecord> members;
+    std::map<VmId, DaemonRecord> members;
     registered_ = false;
     for (const auto &stored : feeds_.at(indexOf(ObjectGroup::Records))->items()) {
         const std::string &name = stored.first;
         const StoredItem &item = stored.second;
         const RecordKind kind = recordKindOf(name);
         if (kind == RecordKind::Member) {
-            const auto decoded = capture([&] { return decodeMemberRecord(item.text); });
-            const auto *member = std::get_if<MemberRecord>(&decoded);
+            const auto decoded = capture([&] { return decodeDaemonRecord(item.text); });
+            const auto *member = std::get_if<DaemonRecord>(&decoded);
             if (!member)
                 continue;
             if (member->vm == settings_.vm)
@@ -178,8 +178,8 @@
             if (const auto *duty = std::get_if<DutyRecord>(&decoded))
                 duty_.observe(*duty, item.version, now);
         } else if (kind == RecordKind::Service) {
-            const auto decoded = capture([&] { return decodeServiceRecord(item.text); });
-            const auto *record = std::get_if<ServiceRecord>(&decoded);
+            const auto decoded = capture([&] { return decodePrimaryRecord(item.text); });
+            const auto *record = std::get_if<PrimaryRecord>(&decoded);
             if (!record)
                 continue;
             ServiceState &state = services_[record->service];
@@ -349,7 +349,7 @@
     if (registered_ || registering_ || !records.loaded() || records.failing())
         return;
     registering_ = true;
-    const std::string name = memberRecordName(settings_.vm);
+    const std::string name = daemonRecordName(settings_.vm);
     const auto known = records.items().find(name);
     std::optional<ResourceVersion> expected;
     if (known != records.items().end())
@@ -357,7 +357,7 @@
     else
         registeredAt_ = clock_.now();
     const std::string text =
-        encodeMemberRecord({settings_.vm, settings_.region, settings_.peerAddress});
+        encodeDaemonRecord({settings_.vm, settings_.region, settings_.peerAddress});
     store_.putRecord(
         name, expected, text, recordTimeout,
         [this, alive = alive_, name, text](const auto &outcome) {
@@ -494,7 +494,7 @@
     if (std::exchange(peerStates_[vm].removing, true))
         return;
     logEvent(Event::MemberDead, {{"vm", vm.value()}});
-    store_.deleteRecord(memberRecordName(vm), recordTimeout,
+    store_.deleteRecord(daemonRecordName(vm), recordTimeout,
                         [this, alive = alive_, vm](const auto &) {
                             // The watch shows whether the record is gone.
                             if (*alive && peerStates_.count(vm) > 0)
@@ -661,7 +661,7 @@
         if (!primary.failingAge || recent)
             continue;
         traffic_.queryStatus(primary.service, primary.endpoint, {.verb = Verb::Status},
-                             surveyTimeout, [](const std::optional<EndpointStatus> &) {});
+                             surveyTimeout, [](const std::optional<ReplicationStatus> &) {});
     }
 }
 
@@ -732,9 +732,9 @@
     if (now - state.missingSince < createDelay * rankFor(service.name))
         return;
     state.creating = true;
-    const ServiceRecord record{service.name, primary->first, false, settings_.vm, 0};
-    const std::string text = encodeServiceRecord(record);
-    const std::string name = serviceRecordName(service.name);
+    const PrimaryRecord record{service.name, primary->first, false, settings_.vm, 0};
+    const std::string text = encodePrimaryRecord(record);
+    const std::string name = primaryRecordName(service.name);
     store_.putRecord(
         name, std::nullopt, text, recordTimeout,
         [this, alive = alive_, name, text,
@@ -858,7 +858,7 @@
         exchangeWithAll(false);
     } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
         announcementUncertainUntil_ = clock_.now() + lateExecution;
-        putServiceRecord(announcement->record, services_[service].recordVersion,
+        putPrimaryRecord(announcement->record, services_[service].recordVersion,
                          [this, service](const StoreOutcome<ResourceVersion> &outcome) {
                              const auto *version = std::get_if<ResourceVersion>(&outcome);
                              const auto *failure = std::get_if<StoreFailure>(&outcome);
@@ -882,7 +882,7 @@
     } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
         promote(service, promotion->endpoint);
     } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
-        putServiceRecord(
+        putPrimaryRecord(
             publication->record, services_[service].recordVersion,
             [this, service](const StoreOutcome<ResourceVersion> &outcome) {
                 const bool published = std::holds_alternative<ResourceVersion>(outcome);
@@ -923,11 +923,11 @@
         });
 }
 
-void FleetControl::putServiceRecord(const ServiceRecord &record, ResourceVersion expected,
+void FleetControl::putPrimaryRecord(const PrimaryRecord &record, ResourceVersion expected,
                                     std::function<void(StoreOutcome<ResourceVersion>)> callback)
 {
-    const std::string name = serviceRecordName(record.service);
-    const std::string text = encodeServiceRecord(record);
+    const std::string name = primaryRecordName(record.service);
+    const std::string text = encodePrimaryRecord(record);
     store_.putRecord(
         name, expected, text, recordTimeout,
         [this, alive = alive_, name, text, callback](const StoreOutcome<ResourceVersion> &outcome) {
@@ -945,7 +945,7 @@
     struct Round
     {
         std::size_t open = 0;
-        std::map<EndpointId, EndpointStatus> statuses;
+        std::map<EndpointId, ReplicationStatus> statuses;
     };
     auto round = std::make_shared<Round>();
     round->open = endpoints.size();
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -90,7 +90,7 @@
     struct ServiceState
     {
         std::unique_ptr<PrimaryReplacement> replacement;
-        std::optional<ServiceRecord> record;
+        std::optional<PrimaryRecord> record;
         ResourceVersion recordVersion;
         TimePoint recordSince{};
         TimePoint missingSince{}; ///< a service without a record
@@ -136,7 +136,7 @@
     void execute(const ServiceName &service, const ReplacementCommand &command);
     void logStep(const ServiceName &service, const ReplacementCommand &command) const;
     void takeDuty();
-    void putServiceRecord(const ServiceRecord &record, ResourceVersion expected,
+    void putPrimaryRecord(const PrimaryRecord &record, ResourceVersion expected,
                           std::function<void(StoreOutcome<ResourceVersion>)> callback);
     void survey(const ServiceName &service, const std::vector<EndpointId> &endpoints);
     void promote(const ServiceName &service, const EndpointId &endpoint);
@@ -159,7 +159,7 @@
     std::optional<DeploymentConfiguration> configuration_;
     std::map<EndpointId, EndpointEntry> endpoints_;
     std::map<EndpointId, TimePoint> drainingSince_; ///< when this daemon learnt that it leaves
-    std::map<VmId, MemberRecord> members_; ///< without this daemon
+    std::map<VmId, DaemonRecord> members_; ///< without this daemon
     std::vector<VmId> regionMembers_; ///< with this daemon, in the order of their weight
     Confirmation confirmation_;
     bool registered_ = false;
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -169,7 +169,7 @@
         const bool leads = leader == endpoint;
         const Term term(promotions.empty() || !leads ? 1 : 2);
         loop.post([callback, leads, term] {
-            callback(EndpointStatus{leads, term, {Term(1), LogPosition(4)}});
+            callback(ReplicationStatus{leads, term, {Term(1), LogPosition(4)}});
         });
     }
 
@@ -199,16 +199,16 @@
         store.change(ObjectGroup::Endpoints, "p", "ready");
         store.change(ObjectGroup::Endpoints, "r", "ready");
         if (withPeer) {
-            store.change(ObjectGroup::Records, memberRecordName(VmId("peer")),
-                         encodeMemberRecord({VmId("peer"), RegionName("far"), {"127.0.0.1", 9}}));
+            store.change(ObjectGroup::Records, daemonRecordName(VmId("peer")),
+                         encodeDaemonRecord({VmId("peer"), RegionName("far"), {"127.0.0.1", 9}}));
         }
         FleetSettings settings;
         settings.vm = VmId("self");
         settings.zone = ZoneName("z");
         settings.peerAddress = {"127.0.0.1", 8};
         // The member record of an earlier life: this daemon is no newcomer.
-        store.change(ObjectGroup::Records, memberRecordName(settings.vm),
-                     encodeMemberRecord({settings.vm, RegionName(), settings.peerAddress}));
+        store.change(ObjectGroup::Records, daemonRecordName(settings.vm),
+                     encodeDaemonRecord({settings.vm, RegionName(), settings.peerAddress}));
         control = std::make_unique<FleetControl>(loop, clock, random, settings, store, around,
                                                  around, around);
         control->start();
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -322,7 +322,7 @@
     enter(Stage::Withdrawing, now);
 }
 
-void PrimaryReplacement::handleSurvey(const std::map<EndpointId, EndpointStatus> &statuses,
+void PrimaryReplacement::handleSurvey(const std::map<EndpointId, ReplicationStatus> &statuses,
                                       TimePoint now)
 {
     pending_ = false;
@@ -331,7 +331,7 @@
     nextSurvey_ = now + surveyInterval;
 }
 
-void PrimaryReplacement::handleDemoted(std::optional<EndpointStatus> status, TimePoint now)
+void PrimaryReplacement::handleDemoted(std::optional<ReplicationStatus> status, TimePoint now)
 {
     pending_ = false;
     if (status) {
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -25,7 +25,7 @@
 struct ReplacementInput
 {
     TimePoint now;
-    std::optional<ServiceRecord> record;
+    std::optional<PrimaryRecord> record;
     ResourceVersion recordVersion;
     TimePoint recordSince; ///< when this daemon first saw the record's version
     std::vector<ReplacementCandidate> candidates; ///< endpoints that are registered
@@ -50,7 +50,7 @@
 };
 struct AnnounceCommand
 {
-    ServiceRecord record;
+    PrimaryRecord record;
 };
 struct SurveyCommand
 {
@@ -67,7 +67,7 @@
 };
 struct PublishCommand
 {
-    ServiceRecord record;
+    PrimaryRecord record;
 };
 using ReplacementCommand =
     std::variant<TakeDutyCommand, AskPeersCommand, AnnounceCommand, SurveyCommand, DemoteCommand,
@@ -98,8 +98,8 @@
 
     void handleDutyTaken(bool taken, TimePoint now);
     void handleAnnounced(std::optional<ResourceVersion> version, TimePoint now);
-    void handleSurvey(const std::map<EndpointId, EndpointStatus> &statuses, TimePoint now);
-    void handleDemoted(std::optional<EndpointStatus> status, TimePoint now);
+    void handleSurvey(const std::map<EndpointId, ReplicationStatus> &statuses, TimePoint now);
+    void handleDemoted(std::optional<ReplicationStatus> status, TimePoint now);
     void handlePromoted(PromotionOutcome outcome, TimePoint now);
     void handlePublished(bool published, TimePoint now);
 
@@ -138,7 +138,7 @@
     std::optional<TimePoint> announcedAt_;
     ResourceVersion announcedVersion_;
     EndpointId oldPrimary_;
-    std::map<EndpointId, EndpointStatus> statuses_;
+    std::map<EndpointId, ReplicationStatus> statuses_;
     std::optional<TimePoint> surveySince_;
     std::optional<TermPosition> finalPosition_; ///< of the demoted primary
     bool demotionTried_ = false;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -12,7 +12,7 @@
 const EndpointId first("first");
 const EndpointId second("second");
 
-EndpointStatus replicaAt(std::uint64_t number)
+ReplicationStatus replicaAt(std::uint64_t number)
 {
     return {false, Term(1), {Term(1), LogPosition(number)}};
 }
@@ -27,7 +27,7 @@
     void setup() override
     {
         input.now = TimePoint(std::chrono::hours(1));
-        input.record = ServiceRecord{ServiceName("db"), oldPrimary, false, VmId("vm"), 0};
+        input.record = PrimaryRecord{ServiceName("db"), oldPrimary, false, VmId("vm"), 0};
         input.recordVersion = ResourceVersion(5);
         input.candidates = {{oldPrimary, false, 2}, {first, false, 2}, {second, false, 1}};
         input.registrationsCurrent = true;
@@ -63,7 +63,7 @@
         replacement.handleAnnounced(ResourceVersion(6), input.now);
     }
 
-    void survey(const std::map<EndpointId, EndpointStatus> &statuses)
+    void survey(const std::map<EndpointId, ReplicationStatus> &statuses)
     {
         CHECK_TRUE(commands<SurveyCommand>());
         replacement.handleSurvey(statuses, input.now);
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -13,12 +13,12 @@
 
 } // namespace
 
-std::string serviceRecordName(const ServiceName &service)
+std::string primaryRecordName(const ServiceName &service)
 {
     return std::string(servicePrefix) + service.value();
 }
 
-std::string memberRecordName(const VmId &vm)
+std::string daemonRecordName(const VmId &vm)
 {
     return std::string(memberPrefix) + vm.value();
 }
@@ -37,7 +37,7 @@
     return name == dutyName ? RecordKind::Duty : RecordKind::Other;
 }
 
-std::string encodeServiceRecord(const ServiceRecord &record)
+std::string encodePrimaryRecord(const PrimaryRecord &record)
 {
     return boost::json::serialize(boost::json::object{
         {"service", record.service.value()},
@@ -57,7 +57,7 @@
     });
 }
 
-std::string encodeMemberRecord(const MemberRecord &record)
+std::string encodeDaemonRecord(const DaemonRecord &record)
 {
     return boost::json::serialize(boost::json::object{
         {"vm", record.vm.value()},
@@ -66,7 +66,7 @@
     });
 }
 
-Result<ServiceRecord> decodeServiceRecord(const std::string &text)
+Result<PrimaryRecord> decodePrimaryRecord(const std::string &text)
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
     BOOST_LEAF_AUTO(service, requireString(object, "service"));
@@ -74,7 +74,7 @@
     BOOST_LEAF_AUTO(replacing, optionalBool(object, "replacing"));
     BOOST_LEAF_AUTO(changedBy, requireString(object, "changedBy"));
     BOOST_LEAF_AUTO(attempt, requireUnsigned(object, "attempt"));
-    return ServiceRecord{ServiceName(service), EndpointId(primary), replacing.value_or(false),
+    return PrimaryRecord{ServiceName(service), EndpointId(primary), replacing.value_or(false),
                          VmId(changedBy), attempt};
 }
 
@@ -87,14 +87,14 @@
     return DutyRecord{VmId(holder), token, renewal};
 }
 
-Result<MemberRecord> decodeMemberRecord(const std::string &text)
+Result<DaemonRecord> decodeDaemonRecord(const std::string &text)
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
     BOOST_LEAF_AUTO(vm, requireString(object, "vm"));
     BOOST_LEAF_AUTO(region, requireString(object, "region"));
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
-    return MemberRecord{VmId(vm), RegionName(region), address};
+    return DaemonRecord{VmId(vm), RegionName(region), address};
 }
 
 } // namespace pistachiowood
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -11,7 +11,7 @@
 namespace pistachiowood {
 
 /// Agreed primary of a service, or the announcement that it is being replaced.
-struct ServiceRecord
+struct PrimaryRecord
 {
     ServiceName service;
     EndpointId primary; ///< while replacing: the primary that goes
@@ -19,7 +19,7 @@
     VmId changedBy;
     std::uint64_t attempt = 0; ///< distinguishes announcements of one daemon
 
-    friend bool operator==(const ServiceRecord &, const ServiceRecord &) = default;
+    friend bool operator==(const PrimaryRecord &, const PrimaryRecord &) = default;
 };
 
 /// Holder of the right to order promotions and its fencing token.
@@ -33,26 +33,26 @@
 };
 
 /// One daemon and where its peers reach it.
-struct MemberRecord
+struct DaemonRecord
 {
     VmId vm;
     RegionName region;
     SocketAddress address;
 };
 
-std::string serviceRecordName(const ServiceName &service);
-std::string memberRecordName(const VmId &vm);
+std::string primaryRecordName(const ServiceName &service);
+std::string daemonRecordName(const VmId &vm);
 std::string dutyRecordName();
 /// Which record a name stands for.
 enum class RecordKind { Service, Member, Duty, Other };
 RecordKind recordKindOf(const std::string &name);
 
-std::string encodeServiceRecord(const ServiceRecord &record);
+std::string encodePrimaryRecord(const PrimaryRecord &record);
 std::string encodeDutyRecord(const DutyRecord &record);
-std::string encodeMemberRecord(const MemberRecord &record);
-Result<ServiceRecord> decodeServiceRecord(const std::string &text);
+std::string encodeDaemonRecord(const DaemonRecord &record);
+Result<PrimaryRecord> decodePrimaryRecord(const std::string &text);
 Result<DutyRecord> decodeDutyRecord(const std::string &text);
-Result<MemberRecord> decodeMemberRecord(const std::string &text);
+Result<DaemonRecord> decodeDaemonRecord(const std::string &text);
 
 } // namespace pistachiowood
 
