--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -87,6 +87,15 @@
     return Severity::Info;
 }
 
+std::vector<std::string> listSeverityChoices()
+{
+    std::vector<std::string> names;
+    for (const Severity severity :
+         {Severity::Debug, Severity::Info, Severity::Warning, Severity::Error})
+        names.emplace_back(severityName(severity));
+    return names;
+}
+
 void initializeLogging(Severity minimum)
 {
     el::Configurations configuration;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,6 +7,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pistachiowood {
 
@@ -38,6 +39,8 @@
 void initializeLogging(Severity minimum);
 /// Severity of a name that severityName() returns; Info for other names.
 Severity parseSeverity(std::string_view name);
+/// Names of the severities that a daemon may log from.
+std::vector<std::string> listSeverityChoices();
 /// Drops every event; for tests.
 void disableLogging();
 
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -31,6 +31,13 @@
     std::mt19937_64 engine_;
 };
 
+/// Seed from the operating system, for a daemon's own random source.
+inline std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
 } // namespace pistachiowood
 
 #endif
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,7 +6,6 @@
 #include <pthread.h>
 
 #include <future>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -18,12 +17,6 @@
 // The load balancer and the other daemons learn of the shutdown before the port closes.
 constexpr Milliseconds leaveNotice{500};
 
-std::uint64_t drawSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 } // namespace
 
 struct Daemon::Private
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t shortestTokenKey = 16; // characters; shorter keys can be guessed
-constexpr std::array<std::string_view, 4> logLevels{"debug", "info", "warning", "error"};
 constexpr std::array<std::string_view, 3> replicaPreferences{"zone", "region", "primary-only"};
 
 template <std::size_t Size>
@@ -73,7 +72,7 @@
     parser.addText(
         "address-overrides", raw.addressOverrides,
         "outgoing connections as address=via,... where an address is reached through another one");
-    parser.addChoice("log-level", raw.logLevel, listChoices(logLevels),
+    parser.addChoice("log-level", raw.logLevel, listSeverityChoices(),
                      "lowest severity that is logged");
     parser.addChoice("replica-preference", raw.replicaPreference, listChoices(replicaPreferences),
                      "how far a read travels to reach a replica");
@@ -125,7 +124,7 @@
     settings.traffic.maxCallers = static_cast<std::size_t>(raw.maxCallers);
     settings.traffic.router.reads.preference =
         static_cast<ReplicaPreference>(indexOf(replicaPreferences, raw.replicaPreference));
-    settings.logLevel = static_cast<Severity>(indexOf(logLevels, raw.logLevel));
+    settings.logLevel = parseSeverity(raw.logLevel);
     settings.control.controller.preferredZone = ZoneName();
     return {};
 }
--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -4,7 +4,6 @@
 #include "rpc/peer_rpc.h"
 
 #include <algorithm>
-#include <random>
 #include <thread>
 
 namespace pistachiowood {
@@ -19,12 +18,6 @@
 constexpr Milliseconds drainPollPeriod{50};
 constexpr Milliseconds readinessPeriod{50};
 
-std::uint64_t drawSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 } // namespace
 
 struct SessionDaemon::Private final : public TrafficPort
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,10 +1,9 @@
 #include "net/http_codec.h"
 
-#include "base/address.h"
 #include "base/json.h"
+#include "net/sockets.h"
 
 #include <ace/Event_Handler.h>
-#include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
@@ -18,7 +17,6 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
-constexpr int listenBacklog = 1024;
 
 HttpResponse parseFailure(ParseState state)
 {
@@ -299,16 +297,7 @@
 
 Result<void> HttpServer::listen(const SocketAddress &address)
 {
-    ACE_INET_Addr local;
-    const std::string name = formatAddress(address);
-    if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
-        return makeError(ErrorCode::InvalidArgument, "invalid listen address " + name);
-    if (private_->acceptor.open(local, 1, AF_INET, listenBacklog) != 0)
-        return makeError(ErrorCode::Unavailable,
-                         "cannot listen on " + name + ": " + std::strerror(errno));
-    private_->acceptor.enable(ACE_NONBLOCK);
-    private_->acceptor.get_local_addr(local);
-    private_->port = local.get_port_number();
+    BOOST_LEAF_ASSIGN(private_->port, openAcceptor(private_->acceptor, address));
     private_->loop.reactor()->register_handler(private_.get(), ACE_Event_Handler::ACCEPT_MASK);
     return {};
 }
--- a/src/net/socket_options.cpp
+++ b/src/net/sockets.cpp
@@ -1,15 +1,22 @@
-#include "net/socket_options.h"
+#include "net/sockets.h"
 
+#include "base/address.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 
 namespace pistachiowood {
 
 namespace {
 
+constexpr int listenBacklog = 1024;
 constexpr int keepAliveProbes = 2; // unanswered probes after which the peer counts as gone
 
 } // namespace
@@ -29,4 +36,18 @@
     stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
 }
 
+Result<std::uint16_t> openAcceptor(ACE_SOCK_Acceptor &acceptor, const SocketAddress &address)
+{
+    ACE_INET_Addr local;
+    const std::string name = formatAddress(address);
+    if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
+        return makeError(ErrorCode::InvalidArgument, "invalid listen address " + name);
+    if (acceptor.open(local, 1, AF_INET, listenBacklog) != 0)
+        return makeError(ErrorCode::Unavailable,
+                         "cannot listen on " + name + ": " + std::strerror(errno));
+    acceptor.enable(ACE_NONBLOCK);
+    acceptor.get_local_addr(local);
+    return local.get_port_number();
+}
+
 } // namespace pistachiowood
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,8 +1,7 @@
 #include "net/stream.h"
 
-#include "base/address.h"
 #include "net/address_overrides.h"
-#include "net/socket_options.h"
+#include "net/sockets.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
@@ -21,7 +20,6 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 16 * 1024;
-constexpr int listenBacklog = 1024;
 
 } // namespace
 
@@ -54,7 +52,7 @@
         ACE_Time_Value immediately = ACE_Time_Value::zero;
         if (connector.connect(stream, remote, &immediately) != 0 && errno != EWOULDBLOCK
             && errno != EINPROGRESS) {
-            failLater(std::strerror(errno));
+            failLater(std::strerror(errno), errno == ECONNREFUSED);
             return;
         }
         stream.enable(ACE_NONBLOCK);
@@ -109,7 +107,7 @@
         loop.reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
         loop.cancelTimer(connectTimer);
         if (socketError != 0) {
-            fail(std::strerror(socketError));
+            fail(std::strerror(socketError), socketError == ECONNREFUSED);
             return;
         }
         if (!startReading()) {
@@ -157,6 +155,7 @@
         while (!output.empty()) {
             const ssize_t count = stream.send(output.data(), output.size());
             if (count > 0) {
+                sentBytes += static_cast<std::uint64_t>(count);
                 if (counter) {
                     counter->sent += static_cast<std::uint64_t>(count);
                     ++counter->messages;
@@ -187,23 +186,25 @@
             loop.reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
             stream.close();
         }
+        // The reactor may still hold a pointer to this handler until the current event ends.
+        loop.post([self = shared_from_this()] {});
     }
 
-    void fail(const std::string &reason)
+    void fail(const std::string &reason, bool refused = false)
     {
         if (state == State::Closed)
             return;
         close();
         if (auto *receiver = std::exchange(listener, nullptr))
-            receiver->handleStreamClosed(reason);
+            receiver->handleStreamClosed({refused, reason});
     }
 
     // Reports a failure found inside a call of the owner after that call has returned.
-    void failLater(const std::string &reason)
+    void failLater(const std::string &reason, bool refused = false)
     {
-        loop.post([weak = weak_from_this(), reason] {
+        loop.post([weak = weak_from_this(), reason, refused] {
             if (const auto self = weak.lock())
-                self->fail(reason);
+                self->fail(reason, refused);
         });
     }
 
@@ -216,6 +217,7 @@
     bool writing = false;
     bool closing = false;
     TimerId connectTimer = 0;
+    std::uint64_t sentBytes = 0;
     std::string input;
     std::string output;
 };
@@ -257,6 +259,11 @@
         private_->close();
 }
 
+std::uint64_t Stream::sentBytes() const
+{
+    return private_->sentBytes;
+}
+
 bool Stream::isOpen() const
 {
     return private_->state == Private::State::Open;
@@ -319,16 +326,7 @@
 
 Result<void> StreamServer::listen(const SocketAddress &address)
 {
-    ACE_INET_Addr local;
-    if (local.set(address.port, address.host.c_str(), 1, AF_INET) != 0)
-        return makeError(ErrorCode::InvalidArgument, "invalid address " + formatAddress(address));
-    if (private_->acceptor.open(local, 1, AF_INET, listenBacklog) != 0) {
-        return makeError(ErrorCode::Unavailable, "cannot listen on " + formatAddress(address) + ": "
-                                                     + std::strerror(errno));
-    }
-    private_->acceptor.enable(ACE_NONBLOCK);
-    private_->acceptor.get_local_addr(local);
-    private_->port = local.get_port_number();
+    BOOST_LEAF_ASSIGN(private_->port, openAcceptor(private_->acceptor, address));
     private_->loop.reactor()->register_handler(private_.get(), ACE_Event_Handler::ACCEPT_MASK);
     private_->listening = true;
     return {};
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -7,6 +7,7 @@
 #include <pistachiowood/error.h>
 #include <pistachiowood/ids.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +15,13 @@
 
 namespace pistachiowood {
 
+/// Why a stream has ended.
+struct StreamClosure
+{
+    bool refused = false; ///< nothing listens at the address
+    std::string reason;
+};
+
 /// Receives the events of one stream; called in the loop's thread.
 class StreamListener
 {
@@ -23,7 +31,7 @@
     /// The listener removes what it has consumed from the input.
     virtual void handleStreamInput(std::string &input) = 0;
     /// The stream is closed; no further event follows.
-    virtual void handleStreamClosed(std::string_view reason) = 0;
+    virtual void handleStreamClosed(const StreamClosure &closure) = 0;
 };
 
 /// Limits and time-outs of a stream.
@@ -51,6 +59,8 @@
     /// Closes the stream after the bytes sent so far, without an event.
     void closeAfterOutput();
     bool isOpen() const;
+    /// Bytes handed to the operating system, which the peer may have received.
+    std::uint64_t sentBytes() const;
 
     struct Private;
 
--- a/tools/pistachiowoodd/main.cpp
+++ b/tools/pistachiowoodd/main.cpp
@@ -1,9 +1,8 @@
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "daemon/signals.h"
 
-#include <csignal>
 #include <iostream>
-#include <thread>
 
 using namespace pistachiowood;
 
@@ -16,18 +15,12 @@
 {
     initializeLogging(settings.logLevel);
     setAddressOverrides(settings.addressOverrides);
-    // A thread of its own waits for the signals, so that no code runs inside a signal handler.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT});
     Daemon daemon(std::move(settings));
-    std::thread([&daemon, signals] {
-        int received = 0;
-        sigwait(&signals, &received);
+    watchSignals(signals, [&daemon](int) {
         daemon.shutdown();
-    }).detach();
+        return false;
+    });
     const auto outcome = capture([&] { return daemon.run(); });
     if (const auto *error = std::get_if<Error>(&outcome)) {
         logEvent(Event::ListenFailed, {{"reason", error->message}});
