Split the control thread by duty; check a group of objects in its feed

Ranks were hashed for every service and member 20 times a second.

Change: FleetPeers (members, reports, permission), ReplacementRunner (records and steps of replacements) and FleetControl (copies, view) share a FleetContext. FleetContext::putRecord, FleetSettings::regionOf and GroupFeed::check replace the copies; ranks are kept until the members change. Two differences: a record that cannot be read is logged, and a daemon that turns to the store after two misses of its confirmer no longer counts that confirmation 50 ms late (it passed a later time to get around its own pause).

--- /dev/null
+++ b/src/takeover/fleet_peers.cpp
@@ -0,0 +1,492 @@
+#include "takeover/fleet_peers.h"
+
+#include "base/log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+// Confirmers ask the store, the others ask a confirmer; both together stay well below the period of
+// a permission.
+constexpr Milliseconds checkPeriod{500};
+constexpr Milliseconds objectsCheckInterval{1500}; // a change must be in force within 3 s
+constexpr Milliseconds confirmerInterval{500};
+constexpr std::size_t daemonsPerConfirmer = 16; // keeps a confirmer's load at 32 questions a second
+constexpr unsigned confirmerMisses = 2; // after which a daemon asks the store itself
+constexpr Milliseconds selfConfirmation{5000}; // for how long it does so
+constexpr Milliseconds recentConfirmation{1700}; // older ones count as a miss
+// Age of the confirmation at which the peers are asked although no call has failed.
+constexpr Milliseconds confirmationAgeLimit{1900};
+// A daemon with a newer confirmation passes that on instead of a promise, which keeps it from
+// replacing primaries. Confirmations are at most 1.6 s old while the store answers.
+constexpr Milliseconds promiseAge{1900};
+constexpr std::size_t smallFleet = 12; // members up to which every daemon asks all others
+constexpr Milliseconds largeFleetInterval{500};
+constexpr Milliseconds exchangeInterval{300};
+constexpr Milliseconds exchangeTimeout{600};
+// A daemon that has just joined is unknown to daemons that are cut off from the store.
+constexpr Milliseconds newcomerDelay{5000};
+// A VM without a sign of life for this long, and that misses as many exchanges, is taken out of the
+// member records by one of the first daemons of its region.
+constexpr Milliseconds lossLimit{4000};
+constexpr Milliseconds lossCheckInterval{500};
+constexpr unsigned lossFailures = 3;
+constexpr std::size_t lossWatchers = 2;
+constexpr Milliseconds reportLifetime{1000}; // after which a peer's evidence no longer counts
+constexpr Milliseconds reachedLately{700}; // primaries are probed every 500 ms
+constexpr Milliseconds failingLately{400};
+
+constexpr auto recordsIndex = static_cast<std::size_t>(ObjectGroup::Records);
+
+} // namespace
+
+FleetPeers::FleetPeers(FleetContext &context, Hooks hooks)
+    : context_(context)
+    , hooks_(std::move(hooks))
+{
+}
+
+void FleetPeers::setMembers(std::map<VmId, DaemonRecord> members, bool registered)
+{
+    const TimePoint now = context_.clock.now();
+    registered_ = registered;
+    const bool removed = std::any_of(members_.begin(), members_.end(), [&](const auto &entry) {
+        return members.count(entry.first) == 0;
+    });
+    if (removed)
+        memberRemovedAt_ = now;
+    members_ = std::move(members);
+    ranks_.clear();
+    for (const auto &[vm, member] : members_)
+        peerStates_.try_emplace(vm, PeerState{.receivedAt = now});
+    std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
+    chooseConfirmers();
+}
+
+// Every daemon computes the same confirmers from the member records.
+void FleetPeers::chooseConfirmers()
+{
+    const auto weight = [](const VmId &vm) {
+        return XXH64(vm.value().data(), vm.value().size(), 0);
+    };
+    std::vector<VmId> region{context_.settings.vm};
+    for (const auto &[vm, member] : members_) {
+        if (member.region == context_.settings.region)
+            region.push_back(vm);
+    }
+    std::sort(region.begin(), region.end(),
+              [&](const VmId &left, const VmId &right) { return weight(left) < weight(right); });
+    regionMembers_ = region;
+    const std::size_t count = (region.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
+    const auto place = static_cast<std::size_t>(
+        std::find(region.begin(), region.end(), context_.settings.vm) - region.begin());
+    confirmation_.self = place < count;
+    confirmation_.next = place % count;
+    region.resize(count);
+    confirmation_.confirmers = std::move(region);
+    context_.traffic.setProbing(confirmation_.self);
+}
+
+void FleetPeers::confirmRecords(TimePoint at)
+{
+    // A daemon that is not a member is not waited for when a primary is replaced.
+    if (!registered_)
+        return;
+    permission_.confirm(at);
+    // A view with the newest records must reach the traffic thread before the permission does.
+    hooks_.flushView();
+    const auto expiry = permission_.expiresAt();
+    if (expiry && expiry != sentPermission_) {
+        sentPermission_ = expiry;
+        context_.traffic.permitPrimaries(*expiry);
+    }
+}
+
+void FleetPeers::handleEvidence(std::vector<PrimaryEvidence> evidence)
+{
+    evidence_.clear();
+    for (PrimaryEvidence &entry : evidence)
+        evidence_[entry.service] = std::move(entry);
+}
+
+const PrimaryEvidence *FleetPeers::ownEvidence(const ServiceName &service) const
+{
+    const auto found = evidence_.find(service);
+    return found == evidence_.end() ? nullptr : &found->second;
+}
+
+void FleetPeers::tick(TimePoint now)
+{
+    registerSelf();
+    tickConfirmation(now);
+    tickPeers(now);
+    removeLostMembers(now);
+}
+
+void FleetPeers::registerSelf()
+{
+    const GroupFeed &records = context_.records();
+    if (registered_ || registering_ || !records.loaded() || records.failing())
+        return;
+    registering_ = true;
+    const std::string name = daemonRecordName(context_.settings.vm);
+    const auto known = records.items().find(name);
+    std::optional<ResourceVersion> expected;
+    if (known != records.items().end())
+        expected = known->second.version;
+    else
+        registeredAt_ = context_.clock.now();
+    const std::string text = encodeDaemonRecord(
+        {context_.settings.vm, context_.settings.region, context_.settings.peerAddress});
+    context_.putRecord(name, expected, text, [this](const auto &) { registering_ = false; });
+}
+
+void FleetPeers::tickConfirmation(TimePoint now)
+{
+    if (!context_.records().loaded())
+        return;
+    if (confirmation_.self || now < confirmation_.selfUntil)
+        checkRecords(now);
+    else if (now - confirmation_.lastAsked >= confirmerInterval)
+        askConfirmer(now);
+}
+
+void FleetPeers::checkRecords(TimePoint now)
+{
+    if (confirmation_.checking)
+        return;
+    confirmation_.checking = true;
+    confirmation_.lastAsked = now;
+    if (now - confirmation_.lastObjects >= objectsCheckInterval) {
+        confirmation_.lastObjects = now;
+        checkObjects(ObjectGroup::Configuration);
+        checkObjects(ObjectGroup::Endpoints);
+    }
+    context_.records().check(checkPeriod, [this](bool answered) {
+        confirmation_.checking = false;
+        recordsReachable_ = answered;
+    });
+}
+
+// A watch may hear nothing for long; the other daemons learn of the change from the confirmers.
+void FleetPeers::checkObjects(ObjectGroup group)
+{
+    if (GroupFeed &feed = context_.feed(group); feed.loaded())
+        feed.check(Milliseconds(0), [](bool) {});
+}
+
+void FleetPeers::askConfirmer(TimePoint now)
+{
+    confirmation_.lastAsked = now;
+    const auto &confirmed = permission_.confirmedAt();
+    if (!confirmed || now - *confirmed > recentConfirmation) {
+        ++confirmation_.next;
+        if (++confirmation_.misses >= confirmerMisses) {
+            confirmation_.misses = 0;
+            confirmation_.selfUntil = now + selfConfirmation;
+            checkRecords(now);
+        }
+    } else {
+        confirmation_.misses = 0;
+    }
+    const VmId &vm =
+        confirmation_.confirmers.at(confirmation_.next % confirmation_.confirmers.size());
+    if (const auto member = members_.find(vm); member != members_.end())
+        exchangeWith(vm, member->second.address, false, nullptr);
+}
+
+void FleetPeers::tickPeers(TimePoint now)
+{
+    const GroupFeed &records = context_.records();
+    const auto confirmed = permission_.confirmedAt();
+    const bool old = !confirmed || now - *confirmed > confirmationAgeLimit;
+    if (recordsReachable_ && !records.failing() && !(old && records.loaded()))
+        return;
+    const bool small = members_.size() <= smallFleet;
+    if (now - lastExchange_ < (small ? exchangeInterval : largeFleetInterval))
+        return;
+    // In a large fleet only the confirmers collect the promises of all; the others ask some peers,
+    // so that an outage does not fill the links.
+    if (small || confirmation_.self)
+        exchangeWithAll(true);
+    else
+        exchangeWithSome();
+}
+
+// A VM that is gone for good would delay each replacement and void the promises of the others. The
+// daemon that is removed by mistake finds its record missing and registers again.
+void FleetPeers::removeLostMembers(TimePoint now)
+{
+    const GroupFeed &records = context_.records();
+    const auto watchers = std::min(regionMembers_.size(), lossWatchers);
+    const bool watching = std::find(regionMembers_.begin(),
+                                    regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers),
+                                    context_.settings.vm)
+                          != regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers);
+    const bool storeSettled = !records.failing() && recordsReachable_ && records.healthySince()
+                              && now - *records.healthySince() > lossLimit;
+    if (!watching || !storeSettled || now - lastLossCheck_ < lossCheckInterval)
+        return;
+    lastLossCheck_ = now;
+    for (const VmId &vm : regionMembers_) {
+        const auto state = peerStates_.find(vm);
+        const auto member = members_.find(vm);
+        if (state == peerStates_.end() || member == members_.end()
+            || now - state->second.receivedAt < lossLimit)
+            continue;
+        if (state->second.failures >= lossFailures)
+            removeMember(vm);
+        else
+            exchangeWith(vm, member->second.address, false, nullptr);
+    }
+}
+
+void FleetPeers::removeMember(const VmId &vm)
+{
+    if (std::exchange(peerStates_[vm].removing, true))
+        return;
+    logEvent(Event::MemberDead, {{"vm", vm.value()}});
+    context_.store.deleteRecord(daemonRecordName(vm), recordTimeout,
+                                [this, alive = context_.alive, vm](const auto &) {
+                                    // The watch shows whether the record is gone.
+                                    if (*alive && peerStates_.count(vm) > 0)
+                                        peerStates_[vm].removing = false;
+                                });
+}
+
+void FleetPeers::exchangeWithAll(bool wantPromise)
+{
+    lastExchange_ = context_.clock.now();
+    std::shared_ptr<PromiseRound> round;
+    if (wantPromise) {
+        round = std::make_shared<PromiseRound>();
+        round->startedAt = lastExchange_;
+        round->asked = members_.size();
+    }
+    for (const auto &[vm, member] : members_)
+        exchangeWith(vm, member.address, wantPromise, round);
+    if (!members_.empty())
+        return;
+    for (const SocketAddress &seed : context_.settings.seeds) {
+        if (seed != context_.settings.peerAddress)
+            exchangeWith(VmId(), seed, false, nullptr);
+    }
+}
+
+void FleetPeers::exchangeWithSome()
+{
+    lastExchange_ = context_.clock.now();
+    const VmId &confirmer =
+        confirmation_.confirmers.at(context_.random.below(confirmation_.confirmers.size()));
+    const auto chosen = members_.find(confirmer);
+    if (chosen != members_.end())
+        exchangeWith(confirmer, chosen->second.address, false, nullptr);
+    auto other = members_.begin();
+    std::advance(other, static_cast<std::ptrdiff_t>(context_.random.below(members_.size())));
+    exchangeWith(other->first, other->second.address, false, nullptr);
+}
+
+void FleetPeers::exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
+                              std::shared_ptr<PromiseRound> round)
+{
+    PeerState &state = peerStates_[vm];
+    if (!vm.value().empty() && std::exchange(state.exchanging, true))
+        return;
+    PeerReport report = makeReport();
+    report.promise = wantPromise;
+    // Copies go with answers; only an announcement is worth sending unasked.
+    const bool tells =
+        round == nullptr && state.report
+        && state.report->versions.at(recordsIndex) < context_.records().contentVersion();
+    if (tells) {
+        report.copies.push_back({ObjectGroup::Records, context_.records().snapshot()});
+    }
+    const TimePoint sentAt = context_.clock.now();
+    context_.peers.exchange(
+        address, report, exchangeTimeout,
+        [this, alive = context_.alive, vm, sentAt, round](const auto &outcome) {
+            if (!*alive)
+                return;
+            const auto *answer = std::get_if<PeerReport>(&outcome);
+            if (const auto known = peerStates_.find(vm); known != peerStates_.end()) {
+                known->second.exchanging = false;
+                known->second.failures = answer ? 0 : known->second.failures + 1;
+            }
+            if (!answer)
+                return;
+            takeReport(*answer, sentAt, true);
+            hooks_.reportReceived();
+            if (!round || !answer->promise || ++round->promised < round->asked)
+                return;
+            // No daemon reaches the store, and none will announce a replacement for
+            // the period of a permission.
+            const TimePoint now = context_.clock.now();
+            if (mayPromise(now)) {
+                promisedUntil_ = now + PrimaryPermission::period;
+                confirmRecords(round->startedAt);
+            }
+        });
+}
+
+PeerReport FleetPeers::makeReport() const
+{
+    const TimePoint now = context_.clock.now();
+    PeerReport report;
+    report.vm = context_.settings.vm;
+    for (std::size_t i = 0; i < objectGroupCount; ++i)
+        report.versions.at(i) = context_.feeds.at(i)->contentVersion();
+    report.obeyedRecords = obeyedRecords_;
+    if (const auto confirmed = permission_.confirmedAt())
+        report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
+    for (const auto &[service, evidence] : evidence_) {
+        PrimaryReport primary{.service = service,
+                              .endpoint = evidence.endpoint,
+                              .primaryEpoch = evidence.primaryEpoch};
+        if (const auto &sample = evidence.newestPosition) {
+            primary.position = sample->position;
+            primary.positionAge = std::chrono::ceil<Milliseconds>(now - sample->askedAt);
+        }
+        if (evidence.lastReply)
+            primary.replyAge = std::chrono::duration_cast<Milliseconds>(now - *evidence.lastReply);
+        if (evidence.failingSince)
+            primary.failingAge =
+                std::chrono::duration_cast<Milliseconds>(now - *evidence.failingSince);
+        report.primaries.push_back(std::move(primary));
+    }
+    return report;
+}
+
+std::vector<GroupCopy> FleetPeers::copiesFor(const PeerReport &peer) const
+{
+    std::vector<GroupCopy> copies;
+    for (std::size_t i = 0; i < objectGroupCount; ++i) {
+        const auto &feed = *context_.feeds.at(i);
+        if (feed.loaded() && feed.contentVersion() > peer.versions.at(i))
+            copies.push_back({static_cast<ObjectGroup>(i), feed.snapshot()});
+    }
+    return copies;
+}
+
+void FleetPeers::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
+{
+    for (const GroupCopy &copy : report.copies)
+        context_.feed(copy.group).takeSnapshot(copy.snapshot);
+    if (report.vm != context_.settings.vm && members_.count(report.vm) > 0) {
+        PeerState &state = peerStates_[report.vm];
+        state.report = report;
+        state.report->copies.clear();
+        state.receivedAt = context_.clock.now();
+    }
+    for (const PrimaryReport &primary : report.primaries) {
+        if (answer && primary.position) {
+            context_.traffic.recordPeerPosition(primary.service, primary.primaryEpoch,
+                                                {sentAt - primary.positionAge, *primary.position});
+        }
+    }
+    // The sender's confirmation covers this daemon only if its records are as new.
+    if (answer && report.confirmedAge
+        && context_.records().contentVersion() >= report.versions.at(recordsIndex))
+        confirmRecords(sentAt - *report.confirmedAge);
+}
+
+// Asked by a peer that has no newer confirmation, or before promising to itself.
+bool FleetPeers::mayPromise(TimePoint now) const
+{
+    const auto confirmed = permission_.confirmedAt();
+    const bool old = !confirmed || now - *confirmed > promiseAge;
+    return old && hooks_.mayPromise(now);
+}
+
+// A peer that misses a primary wants to know whether it answers here.
+void FleetPeers::probeFor(const PeerReport &report)
+{
+    for (const PrimaryReport &primary : report.primaries) {
+        const PrimaryEvidence *own = ownEvidence(primary.service);
+        const bool recent =
+            own && own->lastReply && context_.clock.now() - *own->lastReply < reachedLately / 2;
+        if (!primary.failingAge || recent)
+            continue;
+        context_.traffic.queryStatus(primary.service, primary.endpoint, {.verb = Verb::Status},
+                                     surveyTimeout,
+                                     [](const std::optional<ReplicationStatus> &) {});
+    }
+}
+
+PeerReport FleetPeers::handlePeerReport(const PeerReport &report)
+{
+    takeReport(report, context_.clock.now(), false);
+    probeFor(report);
+    PeerReport answer = makeReport();
+    answer.copies = copiesFor(report);
+    const TimePoint now = context_.clock.now();
+    if (report.promise && mayPromise(now)) {
+        answer.promise = true;
+        promisedUntil_ = now + PrimaryPermission::period;
+    }
+    return answer;
+}
+
+unsigned FleetPeers::rankFor(const ServiceName &service)
+{
+    if (const auto known = ranks_.find(service); known != ranks_.end())
+        return known->second;
+    const auto weight = [&](const VmId &vm) {
+        const std::string key = service.value() + "/" + vm.value();
+        return XXH64(key.data(), key.size(), 0);
+    };
+    const auto own = weight(context_.settings.vm);
+    const auto rank = static_cast<unsigned>(
+        std::count_if(members_.begin(), members_.end(),
+                      [&](const auto &member) { return weight(member.first) < own; }));
+    return ranks_[service] = rank;
+}
+
+bool FleetPeers::mayAnnounce(TimePoint now) const
+{
+    const bool newcomer = registeredAt_ && now - *registeredAt_ < newcomerDelay;
+    return !promised(now) && (!newcomer || members_.empty());
+}
+
+bool FleetPeers::allWithdrawn(ResourceVersion version) const
+{
+    if (obeyedRecords_ < version)
+        return false;
+    // A daemon whose record was removed lately may still rely on its last confirmation.
+    if (memberRemovedAt_ && context_.clock.now() - *memberRemovedAt_ < PrimaryPermission::period)
+        return false;
+    return std::all_of(members_.begin(), members_.end(), [&](const auto &member) {
+        const auto state = peerStates_.find(member.first);
+        return state != peerStates_.end() && state->second.report
+               && state->second.report->obeyedRecords >= version;
+    });
+}
+
+PrimaryOpinion FleetPeers::opinionOn(const ServiceName &service, const EndpointId &endpoint) const
+{
+    const TimePoint now = context_.clock.now();
+    PrimaryOpinion opinion;
+    const PrimaryEvidence *own = ownEvidence(service);
+    if (own && own->endpoint == endpoint)
+        opinion.failingSince = own->failingSince;
+    opinion.asked = static_cast<unsigned>(members_.size());
+    for (const auto &[vm, peer] : peerStates_) {
+        if (!peer.report || now - peer.receivedAt > reportLifetime)
+            continue;
+        for (const PrimaryReport &primary : peer.report->primaries) {
+            if (primary.service != service || primary.endpoint != endpoint)
+                continue;
+            if (primary.failingAge && *primary.failingAge >= failingLately)
+                ++opinion.failing;
+            else if (primary.replyAge && *primary.replyAge <= reachedLately)
+                ++opinion.reaching;
+        }
+    }
+    return opinion;
+}
+
+} // namespace pistachiowood
--- /dev/null
+++ b/src/takeover/fleet_peers.h
@@ -0,0 +1,138 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_FLEET_PEERS_H
+#define PISTACHIOWOOD_TAKEOVER_FLEET_PEERS_H
+
+#include "takeover/fleet_context.h"
+#include "takeover/primary_permission.h"
+#include "takeover/records.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pistachiowood {
+
+/// Who reaches a primary, as this daemon and its peers see it.
+struct PrimaryOpinion
+{
+    std::optional<TimePoint> failingSince; ///< as seen from this daemon
+    unsigned asked = 0; ///< peers that exist
+    unsigned reaching = 0; ///< peers that reached it lately
+    unsigned failing = 0; ///< peers that did not reach it
+};
+
+/// The other daemons: who they are, what they report, and the permission to use primaries, which
+/// is confirmed by the store or by them.
+class FleetPeers
+{
+public:
+    struct Hooks
+    {
+        /// Brings the newest records to the traffic thread.
+        std::function<void()> flushView;
+        /// Whether no replacement of this daemon is under way or may still be announced.
+        std::function<bool(TimePoint now)> mayPromise;
+        /// A peer has answered.
+        std::function<void()> reportReceived;
+    };
+
+    FleetPeers(FleetContext &context, Hooks hooks);
+
+    /// Daemons by the member records, without this one, and whether it has a record itself.
+    void setMembers(std::map<VmId, DaemonRecord> members, bool registered);
+    std::size_t memberCount() const { return members_.size(); }
+    /// The records hold every change made before the time.
+    void confirmRecords(TimePoint at);
+    /// The traffic thread obeys the records of that version.
+    void noteObeyed(ResourceVersion version) { obeyedRecords_ = std::max(obeyedRecords_, version); }
+    void handleEvidence(std::vector<PrimaryEvidence> evidence);
+    void tick(TimePoint now);
+
+    /// Answers the report of a peer.
+    PeerReport handlePeerReport(const PeerReport &report);
+    void askAll() { exchangeWithAll(false); }
+
+    /// Whether this daemon has promised not to announce or promote.
+    bool promised(TimePoint now) const { return now < promisedUntil_; }
+    bool mayAnnounce(TimePoint now) const;
+    /// Whether every known daemon obeys the records of that version.
+    bool allWithdrawn(ResourceVersion version) const;
+    PrimaryOpinion opinionOn(const ServiceName &service, const EndpointId &endpoint) const;
+    /// Order in which the daemons act for the service.
+    unsigned rankFor(const ServiceName &service);
+
+private:
+    struct PeerState
+    {
+        std::optional<PeerReport> report;
+        TimePoint receivedAt; ///< of the report, or of the member's record
+        bool exchanging = false;
+        unsigned failures = 0; ///< exchanges in a row without an answer
+        bool removing = false;
+    };
+    /// How this daemon keeps its permission to use primaries.
+    struct Confirmation
+    {
+        std::vector<VmId> confirmers; ///< daemons of the region that ask the store for the others
+        bool self = true; ///< this daemon is one of them
+        bool checking = false; ///< a call to the store is open
+        std::size_t next = 0; ///< index of the confirmer to ask
+        unsigned misses = 0; ///< answers without a recent confirmation
+        TimePoint lastAsked{};
+        TimePoint lastObjects{}; ///< last check of configuration and endpoints
+        TimePoint selfUntil{}; ///< asks the store itself until then
+    };
+
+    /// Collects the promises of all members.
+    struct PromiseRound
+    {
+        TimePoint startedAt;
+        std::size_t asked = 0;
+        std::size_t promised = 0;
+    };
+
+    void chooseConfirmers();
+    void registerSelf();
+    void tickConfirmation(TimePoint now);
+    void checkRecords(TimePoint now);
+    void checkObjects(ObjectGroup group);
+    void askConfirmer(TimePoint now);
+    void tickPeers(TimePoint now);
+    void removeLostMembers(TimePoint now);
+    void removeMember(const VmId &vm);
+    void exchangeWithAll(bool wantPromise);
+    void exchangeWithSome();
+    void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
+                      std::shared_ptr<PromiseRound> round);
+    PeerReport makeReport() const;
+    std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
+    void takeReport(const PeerReport &report, TimePoint sentAt, bool answer);
+    void probeFor(const PeerReport &report);
+    bool mayPromise(TimePoint now) const;
+    const PrimaryEvidence *ownEvidence(const ServiceName &service) const;
+
+    FleetContext &context_;
+    Hooks hooks_;
+    std::map<VmId, DaemonRecord> members_;
+    std::vector<VmId> regionMembers_; ///< with this daemon, in the order of their weight
+    std::map<ServiceName, unsigned> ranks_; ///< by service, until the members change
+    Confirmation confirmation_;
+    bool registered_ = false;
+    bool registering_ = false;
+    std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
+    std::map<VmId, PeerState> peerStates_;
+    std::optional<TimePoint> memberRemovedAt_; ///< when the last member's record disappeared
+    std::map<ServiceName, PrimaryEvidence> evidence_;
+    PrimaryPermission permission_;
+    std::optional<TimePoint> sentPermission_;
+    bool recordsReachable_ = true; ///< the last question about the records had an answer
+    TimePoint promisedUntil_{};
+    ResourceVersion obeyedRecords_;
+    TimePoint lastExchange_{};
+    TimePoint lastLossCheck_{};
+};
+
+} // namespace pistachiowood
+
+#endif
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds listTimeout{2000}; // a slow store answers within a few hundred milliseconds
 constexpr Milliseconds recoveryPeriod{100};
+constexpr Milliseconds checkTimeout{1200}; // a check waits half a second at most
 constexpr Milliseconds answerSlack{700}; // time beyond the wait of a watch until it counts as lost
 // Full jitter below these limits: a store that returns is not met by all daemons at once.
 constexpr Milliseconds firstRetry{100};
@@ -104,17 +105,35 @@
         return;
     }
     handleAnswer();
-    const auto &changes = std::get<GroupChanges>(outcome);
-    takeChanges(changes);
-    if (changes.version >= version_)
-        handlers_.confirmed(sentAt);
+    takeChanges(sentAt, std::get<GroupChanges>(outcome));
     watch();
 }
 
-void GroupFeed::takeChanges(const GroupChanges &changes)
+void GroupFeed::check(Milliseconds wait, std::function<void(bool answered)> callback)
+{
+    const TimePoint sentAt = clock_.now();
+    store_.check(group_, version_, wait, checkTimeout,
+                 [this, alive = alive_, sentAt,
+                  callback = std::move(callback)](const StoreOutcome<GroupChanges> &outcome) {
+                     if (!*alive)
+                         return;
+                     const auto *changes = std::get_if<GroupChanges>(&outcome);
+                     if (changes)
+                         takeChanges(sentAt, *changes);
+                     callback(changes != nullptr);
+                 });
+}
+
+void GroupFeed::takeChanges(TimePoint sentAt, const GroupChanges &changes)
+{
+    if (changes.version >= version_)
+        applyChanges(changes);
+    // The copy holds what the answer holds, or more.
+    handlers_.confirmed(sentAt);
+}
+
+void GroupFeed::applyChanges(const GroupChanges &changes)
 {
-    if (changes.version < version_)
-        return;
     bool changed = false;
     for (const auto &[item, deleted] : changes.changes) {
         const auto known = items_.find(item.name);
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -32,8 +32,9 @@
     void start();
     /// True if the snapshot was newer than the copy.
     bool takeSnapshot(const GroupSnapshot &snapshot);
-    /// Takes over changes that another call brought.
-    void takeChanges(const GroupChanges &changes);
+    /// Asks the store for changes beside the waiting watch, which may hear nothing for long. The
+    /// callback tells whether it answered.
+    void check(Milliseconds wait, std::function<void(bool answered)> callback);
     /// Adds the result of a change that this daemon made.
     void takeOwnChange(const StoredItem &item);
 
@@ -53,6 +54,8 @@
     void list();
     void watch();
     void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
+    void takeChanges(TimePoint sentAt, const GroupChanges &changes);
+    void applyChanges(const GroupChanges &changes);
     void handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome);
     void handleFailure(StoreFailure failure);
     void handleAnswer();
--- /dev/null
+++ b/src/takeover/replacement_runner.cpp
@@ -0,0 +1,330 @@
+#include "takeover/replacement_runner.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiowood {
+
+namespace {
+
+constexpr Milliseconds promotionTimeout{1500};
+constexpr Milliseconds demotionTimeout{700};
+// A change without an answer may be executed up to six seconds later.
+constexpr Milliseconds lateExecution{8000};
+// Entries that expired during an outage of the store are back two seconds after its end.
+constexpr Milliseconds registrationsSettle{2500};
+constexpr Milliseconds createDelay{300}; // between daemons that create a service's first record
+
+} // namespace
+
+ReplacementRunner::ReplacementRunner(FleetContext &context, FleetPeers &peers)
+    : context_(context)
+    , peers_(peers)
+    , duty_(context.settings.vm)
+{
+}
+
+void ReplacementRunner::takeRecord(const PrimaryRecord &record, ResourceVersion version)
+{
+    ServiceState &state = services_[record.service];
+    if (version <= state.recordVersion)
+        return;
+    state.record = record;
+    state.recordVersion = version;
+    state.recordSince = context_.clock.now();
+    logEvent(record.replacing ? Event::PromotionStarted : Event::PrimaryRecorded,
+             {{"service", record.service.value()},
+              {"primary", record.primary.value()},
+              {"by", record.changedBy.value()},
+              {"version", version.value()}});
+}
+
+void ReplacementRunner::takeDutyRecord(const DutyRecord &record, ResourceVersion version)
+{
+    duty_.observe(record, version, context_.clock.now());
+}
+
+void ReplacementRunner::describe(ServiceView &service) const
+{
+    const auto state = services_.find(service.name);
+    if (state == services_.end() || !state->second.record)
+        return;
+    service.replacing = state->second.record->replacing;
+    if (!service.replacing)
+        service.primary = state->second.record->primary;
+    service.primaryEpoch = state->second.recordVersion.value();
+}
+
+bool ReplacementRunner::mayPromise(TimePoint now) const
+{
+    const bool replacing = std::any_of(services_.begin(), services_.end(), [](const auto &entry) {
+        return entry.second.replacement && entry.second.replacement->announced();
+    });
+    return !replacing && now >= announcementUncertainUntil_;
+}
+
+void ReplacementRunner::tick()
+{
+    if (!context_.configuration || !context_.records().loaded())
+        return;
+    for (const ServiceLimits &service : context_.configuration->services)
+        tickService(service);
+}
+
+void ReplacementRunner::tickService(const ServiceLimits &service)
+{
+    ServiceState &state = services_[service.name];
+    if (!state.record) {
+        createRecord(service, state);
+        return;
+    }
+    if (!state.replacement)
+        state.replacement =
+            std::make_unique<PrimaryReplacement>(service.name, context_.settings.vm);
+    if (leaving_ && !state.replacement->announced())
+        return; // others begin what is due
+    if (const auto command = state.replacement->step(collectInput(service, state)))
+        execute(service.name, *command);
+}
+
+// Goes on with a replacement without waiting for the next tick.
+void ReplacementRunner::stepSoon(const ServiceName &service)
+{
+    context_.loop.post([this, alive = context_.alive, service] {
+        if (!*alive || !context_.configuration)
+            return;
+        for (const ServiceLimits &limits : context_.configuration->services) {
+            if (limits.name == service)
+                tickService(limits);
+        }
+    });
+}
+
+void ReplacementRunner::stepAnnounced()
+{
+    for (const auto &[service, state] : services_) {
+        if (state.replacement && state.replacement->announced())
+            stepSoon(service);
+    }
+}
+
+void ReplacementRunner::createRecord(const ServiceLimits &service, ServiceState &state)
+{
+    const TimePoint now = context_.clock.now();
+    const auto primary =
+        std::find_if(context_.endpoints.begin(), context_.endpoints.end(), [&](const auto &entry) {
+            return entry.second.service == service.name && entry.second.primary;
+        });
+    if (primary == context_.endpoints.end() || context_.records().failing() || state.creating) {
+        state.missingSince = now;
+        return;
+    }
+    if (now - state.missingSince < createDelay * peers_.rankFor(service.name))
+        return;
+    state.creating = true;
+    const PrimaryRecord record{service.name, primary->first, false, context_.settings.vm, 0};
+    context_.putRecord(
+        primaryRecordName(service.name), std::nullopt, encodePrimaryRecord(record),
+        [this, service = service.name](const auto &) { services_[service].creating = false; });
+}
+
+ReplacementInput ReplacementRunner::collectInput(const ServiceLimits &service,
+                                                 const ServiceState &state)
+{
+    const TimePoint now = context_.clock.now();
+    ReplacementInput input;
+    input.now = now;
+    input.record = state.record;
+    input.recordVersion = state.recordVersion;
+    input.recordSince = state.recordSince;
+    input.syncReplicas = service.syncReplicas;
+    std::map<RegionName, unsigned> regionShares;
+    const FleetSettings &settings = context_.settings;
+    for (const auto &[id, entry] : context_.endpoints) {
+        if (entry.service == service.name)
+            ++regionShares[settings.regionOf(entry.zone)];
+    }
+    for (const auto &[id, entry] : context_.endpoints) {
+        if (entry.service == service.name)
+            input.candidates.push_back(
+                {id, entry.draining, regionShares[settings.regionOf(entry.zone)]});
+    }
+    const GroupFeed &endpoints = context_.feed(ObjectGroup::Endpoints);
+    input.registrationsCurrent = !endpoints.failing() && endpoints.healthySince()
+                                 && now - *endpoints.healthySince() > registrationsSettle;
+    const PrimaryOpinion opinion = peers_.opinionOn(service.name, state.record->primary);
+    input.primaryFailingSince = opinion.failingSince;
+    input.peersAsked = opinion.asked;
+    input.peersReaching = opinion.reaching;
+    input.peersFailing = opinion.failing;
+    const bool recordsFailing = context_.records().failing();
+    input.mayAnnounce = peers_.mayAnnounce(now) && !recordsFailing;
+    input.dutyHeld = duty_.held(now);
+    input.dutyAvailable = !input.dutyHeld && duty_.available(now) && !recordsFailing;
+    input.allWithdrawn = peers_.allWithdrawn(state.recordVersion);
+    input.rank = peers_.rankFor(service.name);
+    return input;
+}
+
+PrimaryReplacement *ReplacementRunner::replacementOf(const ServiceName &service)
+{
+    return services_[service].replacement.get();
+}
+
+void ReplacementRunner::logStep(const ServiceName &service, const ReplacementCommand &command) const
+{
+    struct Describe
+    {
+        std::string operator()(const TakeDutyCommand &) const { return "take the duty"; }
+        std::string operator()(const AskPeersCommand &) const { return {}; }
+        std::string operator()(const AnnounceCommand &c) const
+        {
+            return "announce that " + c.record.primary.value() + " goes";
+        }
+        std::string operator()(const SurveyCommand &) const { return "survey"; }
+        std::string operator()(const DemoteCommand &c) const
+        {
+            return "demote " + c.endpoint.value();
+        }
+        std::string operator()(const PromoteCommand &c) const
+        {
+            return "promote " + c.endpoint.value();
+        }
+        std::string operator()(const PublishCommand &c) const
+        {
+            return "publish " + c.record.primary.value();
+        }
+    };
+    if (const std::string step = std::visit(Describe{}, command); !step.empty())
+        logEvent(Event::ReplacementStep, {{"service", service.value()}, {"step", step}});
+}
+
+void ReplacementRunner::execute(const ServiceName &service, const ReplacementCommand &command)
+{
+    logStep(service, command);
+    if (std::holds_alternative<TakeDutyCommand>(command)) {
+        services_[service].waitsForDuty = true;
+        takeDuty();
+    } else if (std::holds_alternative<AskPeersCommand>(command)) {
+        peers_.askAll();
+    } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
+        announcementUncertainUntil_ = context_.clock.now() + lateExecution;
+        putPrimaryRecord(
+            announcement->record, [this, service](const StoreOutcome<ResourceVersion> &outcome) {
+                const auto *version = std::get_if<ResourceVersion>(&outcome);
+                const auto *failure = std::get_if<StoreFailure>(&outcome);
+                if (!failure || *failure != StoreFailure::NoAnswer)
+                    announcementUncertainUntil_ = context_.clock.now();
+                replacementOf(service)->handleAnnounced(
+                    version ? std::optional(*version) : std::nullopt, context_.clock.now());
+                stepSoon(service);
+            });
+    } else if (const auto *surveyed = std::get_if<SurveyCommand>(&command)) {
+        survey(service, surveyed->endpoints);
+    } else if (const auto *demotion = std::get_if<DemoteCommand>(&command)) {
+        context_.traffic.queryStatus(
+            service, demotion->endpoint, {.verb = Verb::Demote, .term = demotion->term},
+            demotionTimeout, [this, alive = context_.alive, service](auto status) {
+                if (*alive) {
+                    replacementOf(service)->handleDemoted(status, context_.clock.now());
+                    stepSoon(service);
+                }
+            });
+    } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
+        promote(service, promotion->endpoint);
+    } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
+        putPrimaryRecord(
+            publication->record, [this, service](const StoreOutcome<ResourceVersion> &outcome) {
+                const bool published = std::holds_alternative<ResourceVersion>(outcome);
+                if (published)
+                    logEvent(Event::PromotionCompleted, {{"service", service.value()}});
+                replacementOf(service)->handlePublished(published, context_.clock.now());
+            });
+    }
+}
+
+void ReplacementRunner::takeDuty()
+{
+    if (takingDuty_)
+        return;
+    takingDuty_ = true;
+    const TimePoint sentAt = context_.clock.now();
+    const DutyRecord record = duty_.propose(sentAt);
+    context_.putRecord(dutyRecordName(), duty_.expectedVersion(), encodeDutyRecord(record),
+                       [this, record, sentAt](const StoreOutcome<ResourceVersion> &outcome) {
+                           takingDuty_ = false;
+                           const TimePoint now = context_.clock.now();
+                           const auto *version = std::get_if<ResourceVersion>(&outcome);
+                           if (version)
+                               duty_.accept(record, *version, sentAt, now);
+                           for (auto &[service, state] : services_) {
+                               if (!std::exchange(state.waitsForDuty, false))
+                                   continue;
+                               state.replacement->handleDutyTaken(version != nullptr, now);
+                               stepSoon(service);
+                           }
+                       });
+}
+
+void ReplacementRunner::putPrimaryRecord(
+    const PrimaryRecord &record,
+    std::function<void(const StoreOutcome<ResourceVersion> &)> callback)
+{
+    context_.putRecord(primaryRecordName(record.service), services_[record.service].recordVersion,
+                       encodePrimaryRecord(record), std::move(callback));
+}
+
+void ReplacementRunner::survey(const ServiceName &service, const std::vector<EndpointId> &endpoints)
+{
+    struct Round
+    {
+        std::size_t open = 0;
+        std::map<EndpointId, ReplicationStatus> statuses;
+    };
+    auto round = std::make_shared<Round>();
+    round->open = endpoints.size();
+    for (const EndpointId &endpoint : endpoints) {
+        context_.traffic.queryStatus(
+            service, endpoint, {.verb = Verb::Status}, surveyTimeout,
+            [this, alive = context_.alive, service, endpoint, round](auto status) {
+                if (!*alive)
+                    return;
+                if (status)
+                    round->statuses[endpoint] = *status;
+                logEvent(Event::EndpointSurveyed,
+                         {{"service", service.value()},
+                          {"endpoint", endpoint.value()},
+                          {"answered", status ? 1 : 0},
+                          {"primary", status && status->primary ? 1 : 0},
+                          {"term", status ? status->term.value() : 0},
+                          {"received", status ? status->received.number.value() : 0}});
+                if (--round->open == 0) {
+                    replacementOf(service)->handleSurvey(round->statuses, context_.clock.now());
+                    stepSoon(service);
+                }
+            });
+    }
+}
+
+void ReplacementRunner::promote(const ServiceName &service, const EndpointId &endpoint)
+{
+    const TimePoint now = context_.clock.now();
+    if (!duty_.held(now) || peers_.promised(now)) {
+        replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
+        return;
+    }
+    logEvent(Event::PromotionOrdered,
+             {{"service", service.value()}, {"endpoint", endpoint.value()}});
+    context_.promotions.promote(
+        service, endpoint, context_.settings.vm, duty_.fencingToken(), promotionTimeout,
+        [this, alive = context_.alive, service](PromotionOutcome outcome) {
+            if (!*alive)
+                return;
+            replacementOf(service)->handlePromoted(outcome, context_.clock.now());
+            stepSoon(service);
+        });
+}
+
+} // namespace pistachiowood
