Split a caller's session by duty and choose its endpoint apart from it

Some members had no reader.

Change: endpoint_choice holds choosePrimary, chooseForRead and waitTooLong; caller_work.cpp runs statements at endpoints; Gateway::visitSessions and CallerSession::define replace the copies; the confirmation extends the timer, and only when it is not settled at once. Removed without a reader: Work::attempts and deadline, three accessors, EndpointView::slots. Ruled out: a class of its own for the work, which would share all of the session's state.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_GATEWAY_CALLER_SESSION_H
 #define PISTACHIOWOOD_GATEWAY_CALLER_SESSION_H
 
+#include "gateway/endpoint_choice.h"
 #include "gateway/gateway_services.h"
 
 #include <deque>
@@ -41,10 +42,6 @@
     /// Aborts an open transaction, once no statement runs, and closes the session.
     void finishTransactions();
 
-    bool hasWork() const { return work_.has_value(); }
-    bool inTransaction() const { return transaction_.has_value(); }
-    const DatabaseRoute &route() const { return route_; }
-
     void handleLinkGranted(PooledLink &link) override;
     void handleLinkRefused(LinkFailure failure) override;
     void handleReply(StatementReply reply) override;
@@ -70,15 +67,11 @@
         PreparedStatement prepared; ///< Execute: what the name stands for
         bool writes = false;
         TimePoint startedAt;
-        TimePoint deadline; ///< after which the statement is given up
         TimePoint holdUntil; ///< until which it waits for an endpoint
         Stage stage = Stage::Holding;
-        LinkPool *pool = nullptr;
+        EndpointChoice target;
         LinkPool::Ticket ticket = 0;
-        std::optional<TermPosition> after;
-        std::uint64_t primaryEpoch = 0;
         std::set<EndpointId> excluded;
-        unsigned attempts = 0;
         unsigned holds = 0; ///< times that no endpoint could run it
         LinkPrelude prelude;
         std::size_t preludePending = 0;
@@ -88,35 +81,29 @@
         TimerId retryTimer = 0;
     };
 
-    struct OwnCommit
-    {
-        std::uint64_t primaryEpoch = 0;
-        TermPosition position;
-        TimePoint at;
-    };
-
     void startStatement(SessionStatement statement);
     void startLocal(const SessionStatement &statement);
     void startEndpointWork(SessionStatement statement);
     bool refreshRoute();
+    template <typename Value>
+    void define(std::map<std::string, Value> &entries, const std::string &name, Value value,
+                const std::string &refusal);
     void beginTransaction(bool readOnly);
     void endTransaction();
     void dispatch();
     bool needsPrimary() const;
-    bool choosePrimary();
-    bool chooseReplica();
-    bool waitTooLong() const;
-    void acquireLink();
+    void acquireLink(const EndpointChoice &choice);
     void hold();
     void startPrelude();
     void sendMain();
     void finishPrelude();
     void handleMainReply(StatementReply reply);
     void handleSuccess(StatementReply reply);
-    void confirmWrite();
+    bool confirmWrite();
     void handleNotRun(ReplyCode code);
     void retryLater(Milliseconds delay);
     void handleExpired();
+    void extendTimer(Milliseconds atLeast);
     void giveUp(ReplyCode code, const std::string &message);
     void finish(StatementReply reply);
     void replyLocally(std::optional<ReplyCode> failure, const std::string &message);
--- a/src/gateway/deployment.h
+++ b/src/gateway/deployment.h
@@ -66,7 +66,6 @@
 {
     EndpointId id;
     SocketAddress address;
-    unsigned slots = 1;
     bool draining = false;
     unsigned distance = 0; ///< 0 own zone, 1 own region, 2 another region
     std::optional<TimePoint> closedFrom; ///< when a leaving endpoint gets no new work any more
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,19 +178,23 @@
         wakeSessions();
 }
 
-void Gateway::wakeSessions()
+// A session may be closed by what another one does meanwhile.
+void Gateway::visitSessions(const std::function<void(CallerSession &)> &visit)
 {
-    std::vector<SessionId> waiting;
-    for (const auto &[id, session] : sessions_) {
-        if (session->hasWork())
-            waiting.push_back(id);
-    }
-    for (const SessionId id : waiting) {
+    std::vector<SessionId> open;
+    for (const auto &entry : sessions_)
+        open.push_back(entry.first);
+    for (const SessionId id : open) {
         if (const auto found = sessions_.find(id); found != sessions_.end())
-            found->second->handleViewChanged();
+            visit(*found->second);
     }
 }
 
+void Gateway::wakeSessions()
+{
+    visitSessions([](CallerSession &session) { session.handleViewChanged(); });
+}
+
 const ServiceView *Gateway::findService(const ServiceName &service) const
 {
     const auto found = view_->services.find(service);
@@ -360,24 +364,12 @@
 void Gateway::startDrain()
 {
     draining_ = true;
-    std::vector<SessionId> open;
-    for (const auto &entry : sessions_)
-        open.push_back(entry.first);
-    for (const SessionId id : open) {
-        if (const auto found = sessions_.find(id); found != sessions_.end())
-            found->second->startDrain();
-    }
+    visitSessions([](CallerSession &session) { session.startDrain(); });
 }
 
 void Gateway::finishTransactions()
 {
-    std::vector<SessionId> open;
-    for (const auto &entry : sessions_)
-        open.push_back(entry.first);
-    for (const SessionId id : open) {
-        if (const auto found = sessions_.find(id); found != sessions_.end())
-            found->second->finishTransactions();
-    }
+    visitSessions([](CallerSession &session) { session.finishTransactions(); });
 }
 
 } // namespace pistachiowood
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,7 +54,6 @@
     std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
     void handleStatement(SessionId session, SessionStatement statement);
     void closeSession(SessionId session);
-    std::size_t openSessions() const { return sessions_.size(); }
 
     /// Sends a Status or Demote statement; nullopt if there was no answer in time.
     void queryStatus(const ServiceName &service, const EndpointId &endpoint,
@@ -85,6 +84,7 @@
     void updatePools(const ServiceView &service, ServiceTraffic &traffic);
     void recordPosition(const ServiceName &service, const EndpointId &endpoint, TimePoint askedAt,
                         TermPosition position);
+    void visitSessions(const std::function<void(CallerSession &)> &visit);
     void wakeSessions();
     void tick();
     void logPools() const;
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -40,7 +40,7 @@
         ServiceView &entry = view->services[service];
         entry.name = service;
         entry.maxConnections = maxConnections;
-        entry.endpoints = {{primary, {}, 2, false, 1}, {replica, {}, 2, false, 0}};
+        entry.endpoints = {{primary, {}, false, 1}, {replica, {}, false, 0}};
         entry.primary = leader;
         entry.primaryEpoch = epoch;
         entry.replacing = !leader;
--- a/src/gateway/link_pool.h
+++ b/src/gateway/link_pool.h
@@ -52,7 +52,6 @@
     void send(const SessionStatement &statement);
     LinkPool &pool() { return pool_; }
     std::size_t outstanding() const { return outstanding_; }
-    SessionPhase phase() const { return phase_; }
 
     LinkSessionState sessionState; ///< what the endpoint holds once all statements have replies
 
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -198,7 +198,7 @@
         if (service == view->services.end())
             continue;
         EndpointView &endpoint = service->second.endpoints.emplace_back();
-        endpoint = {id, entry.address, entry.slots, entry.draining, distanceTo(entry.zone)};
+        endpoint = {id, entry.address, entry.draining, distanceTo(entry.zone)};
         // Half of the limit covers the time until this daemon learnt of it.
         if (const auto since = drainingSince_.find(id); since != drainingSince_.end())
             endpoint.closedFrom = since->second + context_.settings.drainLimit / 2;
