Serve waiting statements from one place; collect pool fields only when they are logged

Cause: the posted call of serveWaiters stood three times in the pool, and the fields of every pool were formatted once a second although debug events are off by default.

Change: LinkPool::serveWaitersSoon and isLogged.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -113,10 +113,15 @@
     minimumLevel = disabledLevel;
 }
 
+bool isLogged(Event event)
+{
+    return static_cast<int>(describeEvent(event).severity) >= minimumLevel;
+}
+
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
     const EventInfo &info = describeEvent(event);
-    if (static_cast<int>(info.severity) >= minimumLevel)
+    if (isLogged(event))
         writeLine(info.severity, formatLine(info, fields));
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -44,6 +44,9 @@
 /// Drops every event; for tests.
 void disableLogging();
 
+/// Whether the event is written; saves collecting the fields of frequent ones.
+bool isLogged(Event event);
+
 /// Writes one line: time, severity, event number, message, key="value" pairs.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -312,7 +312,7 @@
     }
     for (const auto &[id, session] : sessions_)
         session->tick();
-    if (++ticks_ % poolLogTicks == 0)
+    if (++ticks_ % poolLogTicks == 0 && isLogged(Event::PoolState))
         logPools();
     if (evidence_)
         evidence_(std::move(evidence));
--- a/src/gateway/link_pool.cpp
+++ b/src/gateway/link_pool.cpp
@@ -79,11 +79,7 @@
 {
     const Ticket ticket = ++lastTicket_;
     waiters_.emplace(WaiterKey{priority, deadline, ticket}, Waiter{ticket, &user, variables});
-    // The grant comes after the caller has stored the ticket.
-    loop_.post([this, alive = alive_] {
-        if (*alive)
-            serveWaiters();
-    });
+    serveWaitersSoon(); // after the caller has stored the ticket
     return ticket;
 }
 
@@ -109,6 +105,14 @@
     return best;
 }
 
+void LinkPool::serveWaitersSoon()
+{
+    loop_.post([this, alive = alive_] {
+        if (*alive)
+            serveWaiters();
+    });
+}
+
 void LinkPool::serveWaiters()
 {
     while (!waiters_.empty()) {
@@ -191,12 +195,8 @@
     }
     link.state_ = PooledLink::State::Idle;
     link.idleSince_ = clock_.now();
-    if (!waiters_.empty()) {
-        loop_.post([this, alive = alive_] {
-            if (*alive)
-                serveWaiters();
-        });
-    }
+    if (!waiters_.empty())
+        serveWaitersSoon();
 }
 
 void LinkPool::discard(PooledLink &link)
@@ -214,10 +214,8 @@
     links_.erase(found);
     dying->user_ = nullptr;
     dying->link_.reset();
-    loop_.post([this, alive = alive_, dying] {
-        if (*alive)
-            serveWaiters();
-    });
+    loop_.post([dying] {});
+    serveWaitersSoon();
 }
 
 void LinkPool::handleOpened(PooledLink &link, std::optional<TermPosition> position)
--- a/src/gateway/link_pool.h
+++ b/src/gateway/link_pool.h
@@ -129,6 +129,7 @@
     void openLinks();
     std::size_t limit() const;
     void serveWaiters();
+    void serveWaitersSoon(); ///< after the current event
     PooledLink *findIdle(const SessionVariables &variables);
     void grant(PooledLink &link, LinkUser &user);
     void refuseWaiters(LinkFailure failure);
