Leave watches of endpoints and records to the confirmers in large fleets

Every change of an endpoint or a member record answered a watch of each of the 68 daemons, and each daemon asked again; the registrations at the start alone made thousands of calls. Confirmers were chosen by weight alone, so two thirds of the questions to them crossed zones.

Ruled out: longer watches (they already wait 20 s); fewer checks of the confirmers (a permission must be renewed well within 2.5 s).

Change: with more than 12 members only confirmers, daemons whose confirmers do not answer and daemons that replace a primary watch endpoints and records. The others take copies from a confirmer every 0.5 s. The confirmers of a region stand in different zones, member records carry the zone, and a daemon asks the confirmer of its zone first. Confirmers come first in the order in which daemons replace a primary; only a daemon that watches the endpoints concludes that a missing one has gone. The configuration, which can be large, is still watched by all.

--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -33,8 +33,9 @@
     void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
                Callback<GroupChanges> callback) override
     {
+        ++watchCalls.at(static_cast<std::size_t>(group));
         if (wait < 1s)
-            check(group, from, wait, wait, std::move(callback));
+            answerCheck(group, from, wait, std::move(callback));
         else if (down)
             loop.startTimer(1ms, [callback] { callback(StoreFailure::Refused); });
         else
@@ -43,6 +44,13 @@
 
     void check(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
                Callback<GroupChanges> callback) override
+    {
+        ++checkCalls;
+        answerCheck(group, from, wait, std::move(callback));
+    }
+
+    void answerCheck(ObjectGroup group, ResourceVersion from, Milliseconds wait,
+                     Callback<GroupChanges> callback)
     {
         loop.startTimer(down ? 1ms : wait / 10, [this, group, from, callback] {
             if (down) {
@@ -112,6 +120,8 @@
     ResourceVersion version{10};
     std::array<std::map<std::string, StoredItem>, objectGroupCount> groups;
     std::array<Callback<GroupChanges>, objectGroupCount> watches;
+    std::array<unsigned, objectGroupCount> watchCalls{};
+    unsigned checkCalls = 0;
     bool down = false;
     bool deaf = false; ///< watches hear nothing
 };
@@ -136,6 +146,8 @@
             answer.vm = VmId("peer");
             answer.versions = report.versions;
             answer.obeyedRecords = report.versions.at(2);
+            if (peerConfirms)
+                answer.confirmedAge = Milliseconds(0);
             answer.promise = report.promise && peerPromises;
             callback(answer);
         });
@@ -176,6 +188,7 @@
     EventLoop &loop;
     bool peerAnswers = true;
     bool peerPromises = true;
+    bool peerConfirms = false; ///< the peers have asked the store just now
     std::optional<EndpointId> leader{EndpointId("p")};
     std::vector<std::pair<EndpointId, std::uint64_t>> promotions;
     std::shared_ptr<const DeploymentView> view;
@@ -200,20 +213,37 @@
         store.change(ObjectGroup::Endpoints, "r", "ready");
         if (withPeer) {
             store.change(ObjectGroup::Records, daemonRecordName(VmId("peer")),
-                         encodeDaemonRecord({VmId("peer"), RegionName("far"), {"127.0.0.1", 9}}));
+                         encodeDaemonRecord(
+                             {VmId("peer"), RegionName("far"), ZoneName("f"), {"127.0.0.1", 9}}));
         }
         FleetSettings settings;
         settings.vm = VmId("self");
         settings.zone = ZoneName("z");
         settings.peerAddress = {"127.0.0.1", 8};
         // The member record of an earlier life: this daemon is no newcomer.
-        store.change(ObjectGroup::Records, daemonRecordName(settings.vm),
-                     encodeDaemonRecord({settings.vm, RegionName(), settings.peerAddress}));
+        store.change(
+            ObjectGroup::Records, daemonRecordName(settings.vm),
+            encodeDaemonRecord({settings.vm, RegionName(), settings.zone, settings.peerAddress}));
         control = std::make_unique<FleetControl>(loop, clock, random, settings, store, around,
                                                  around, around);
         control->start();
     }
 
+    // Daemons of the same zone; most of any 40 names make the daemon under test no confirmer.
+    void addPeers(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            const VmId vm("vm-" + std::to_string(i));
+            store.change(ObjectGroup::Records, daemonRecordName(vm),
+                         encodeDaemonRecord({vm, RegionName(), ZoneName("z"), {"127.0.0.1", 9}}));
+        }
+    }
+
+    unsigned watchCalls(ObjectGroup group)
+    {
+        return store.watchCalls.at(static_cast<std::size_t>(group));
+    }
+
     void settle(Milliseconds time)
     {
         loop.startTimer(time, [this] { loop.stop(); });
@@ -346,3 +376,55 @@
     settle(400ms);
     CHECK_TRUE(around.permittedUntil > before);
 }
+
+// Guards against a load on the store that grows with the square of the fleet: each change of an
+// endpoint or of a member was a call of every daemon (4,459 calls in diyavandan-pool-grown
+// quiet-1).
+TEST(FleetControl, daemonOfALargeFleetLeavesWatchesToItsConfirmers)
+{
+    addPeers(40);
+    around.peerConfirms = true;
+    start(false);
+    settle(500ms);
+    const unsigned endpointsBefore = watchCalls(ObjectGroup::Endpoints);
+    const unsigned recordsBefore = watchCalls(ObjectGroup::Records);
+    const unsigned checksBefore = store.checkCalls;
+    for (unsigned i = 0; i < 10; ++i) {
+        store.change(ObjectGroup::Endpoints, "r", i % 2 == 0 ? "ready" : "still ready");
+        store.change(ObjectGroup::Records, "note-" + std::to_string(i), "{}");
+        settle(50ms);
+    }
+    CHECK_TRUE(watchCalls(ObjectGroup::Endpoints) <= endpointsBefore + 1);
+    CHECK_TRUE(watchCalls(ObjectGroup::Records) <= recordsBefore + 1);
+    LONGS_EQUAL(checksBefore, store.checkCalls);
+    CHECK_TRUE(around.permittedUntil > clock.now());
+}
+
+// Guards against a daemon that neither asks the store nor hears of it when its confirmers are gone.
+TEST(FleetControl, daemonOfALargeFleetAsksTheStoreWhenItsConfirmersDoNotAnswer)
+{
+    addPeers(40);
+    around.peerConfirms = true;
+    start(false);
+    settle(500ms);
+    around.peerAnswers = false;
+    settle(4000ms);
+    CHECK_TRUE(around.permittedUntil > clock.now());
+    store.change(ObjectGroup::Endpoints, "extra", "ready");
+    settle(200ms);
+    LONGS_EQUAL(3, service().endpoints.size());
+}
+
+// Guards against a configuration that waits for a confirmer: it can be large, and each daemon takes
+// it from the store.
+TEST(FleetControl, daemonOfALargeFleetWatchesTheConfiguration)
+{
+    addPeers(40);
+    around.peerConfirms = true;
+    start(false);
+    settle(500ms);
+    const unsigned before = watchCalls(ObjectGroup::Configuration);
+    store.change(ObjectGroup::Configuration, "main", "{}");
+    settle(100ms);
+    LONGS_EQUAL(before + 1, watchCalls(ObjectGroup::Configuration));
+}
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -68,30 +68,74 @@
     chooseConfirmers();
 }
 
-// Every daemon computes the same confirmers from the member records.
+// Every daemon computes the same confirmers from the member records. Those of a region stand in as
+// many zones as possible: most questions then stay within a zone.
 void FleetPeers::chooseConfirmers()
 {
-    const auto weight = [](const VmId &vm) {
-        return XXH64(vm.value().data(), vm.value().size(), 0);
+    struct Place
+    {
+        std::size_t ordinal = 0; ///< among the daemons of the zone, by weight
+        std::uint64_t weight = 0;
+        const VmId *vm = nullptr;
+        const ZoneName *zone = nullptr;
     };
-    std::vector<VmId> region{context_.settings.vm};
-    for (const auto &[vm, member] : members_) {
-        if (member.region == context_.settings.region)
-            region.push_back(vm);
+    const FleetSettings &settings = context_.settings;
+    std::map<RegionName, std::vector<Place>> regions;
+    const auto add = [&](const VmId &vm, const RegionName &region, const ZoneName &zone) {
+        const auto weight = XXH64(vm.value().data(), vm.value().size(), 0);
+        regions[region].push_back({0, weight, &vm, &zone});
+    };
+    add(settings.vm, settings.region, settings.zone);
+    for (const auto &[vm, member] : members_)
+        add(vm, member.region, member.zone);
+    fleetConfirmers_.clear();
+    for (auto &[region, places] : regions) {
+        std::sort(places.begin(), places.end(),
+                  [](const Place &left, const Place &right) { return left.weight < right.weight; });
+        std::map<ZoneName, std::size_t> counts;
+        for (Place &place : places)
+            place.ordinal = counts[*place.zone]++;
+        std::stable_sort(places.begin(), places.end(), [](const Place &left, const Place &right) {
+            return left.ordinal < right.ordinal;
+        });
+        const std::size_t count = (places.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
+        for (std::size_t i = 0; i < count; ++i)
+            fleetConfirmers_.insert(*places[i].vm);
+        if (region != settings.region)
+            continue;
+        regionMembers_.clear();
+        for (const Place &place : places)
+            regionMembers_.push_back(*place.vm);
+        confirmation_.confirmers.assign(
+            regionMembers_.begin(), regionMembers_.begin() + static_cast<std::ptrdiff_t>(count));
+        const auto own = static_cast<std::size_t>(
+            std::find(regionMembers_.begin(), regionMembers_.end(), settings.vm)
+            - regionMembers_.begin());
+        confirmation_.self = own < count;
+        confirmation_.next = own % count;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (*places[i].zone == settings.zone)
+                confirmation_.next = i;
+        }
     }
-    std::sort(region.begin(), region.end(),
-              [&](const VmId &left, const VmId &right) { return weight(left) < weight(right); });
-    regionMembers_ = region;
-    const std::size_t count = (region.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
-    const auto place = static_cast<std::size_t>(
-        std::find(region.begin(), region.end(), context_.settings.vm) - region.begin());
-    confirmation_.self = place < count;
-    confirmation_.next = place % count;
-    region.resize(count);
-    confirmation_.confirmers = std::move(region);
     context_.traffic.setProbing(confirmation_.self);
 }
 
+bool FleetPeers::inLargeFleet() const
+{
+    return members_.size() > smallFleet;
+}
+
+// In a large fleet an event would be a call of every daemon, and the members alone make as many
+// events as there are daemons. A daemon that replaces a primary needs the newest records itself.
+void FleetPeers::chooseFeedsToWatch(TimePoint now)
+{
+    const bool watching = !inLargeFleet() || confirmation_.self || now < confirmation_.selfUntil
+                          || !hooks_.mayPromise(now);
+    context_.feed(ObjectGroup::Endpoints).setWatching(watching);
+    context_.records().setWatching(watching);
+}
+
 void FleetPeers::confirmRecords(TimePoint at)
 {
     // A daemon that is not a member is not waited for when a primary is replaced.
@@ -124,6 +168,7 @@
 {
     registerSelf();
     tickConfirmation(now);
+    chooseFeedsToWatch(now);
     tickPeers(now);
     removeLostMembers(now);
 }
@@ -141,8 +186,9 @@
         expected = known->second.version;
     else
         registeredAt_ = context_.clock.now();
-    const std::string text = encodeDaemonRecord(
-        {context_.settings.vm, context_.settings.region, context_.settings.peerAddress});
+    const std::string text =
+        encodeDaemonRecord({context_.settings.vm, context_.settings.region, context_.settings.zone,
+                            context_.settings.peerAddress});
     context_.putRecord(name, expected, text, [this](const auto &) { registering_ = false; });
 }
 
@@ -207,7 +253,7 @@
     const bool old = !confirmed || now - *confirmed > confirmationAgeLimit;
     if (recordsReachable_ && !records.failing() && !(old && records.loaded()))
         return;
-    const bool small = members_.size() <= smallFleet;
+    const bool small = !inLargeFleet();
     if (now - lastExchange_ < (small ? exchangeInterval : largeFleetInterval))
         return;
     // In a large fleet only the confirmers collect the promises of all; the others ask some peers,
@@ -435,9 +481,11 @@
 {
     if (const auto known = ranks_.find(service); known != ranks_.end())
         return known->second;
+    // In a large fleet the confirmers come first: they have the newest copies.
     const auto weight = [&](const VmId &vm) {
         const std::string key = service.value() + "/" + vm.value();
-        return XXH64(key.data(), key.size(), 0);
+        const bool later = inLargeFleet() && fleetConfirmers_.count(vm) == 0;
+        return std::pair(later, XXH64(key.data(), key.size(), 0));
     };
     const auto own = weight(context_.settings.vm);
     const auto rank = static_cast<unsigned>(
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace pistachiowood {
@@ -93,6 +94,8 @@
     };
 
     void chooseConfirmers();
+    bool inLargeFleet() const;
+    void chooseFeedsToWatch(TimePoint now);
     void registerSelf();
     void tickConfirmation(TimePoint now);
     void checkRecords(TimePoint now);
@@ -115,7 +118,8 @@
     FleetContext &context_;
     Hooks hooks_;
     std::map<VmId, DaemonRecord> members_;
-    std::vector<VmId> regionMembers_; ///< with this daemon, in the order of their weight
+    std::vector<VmId> regionMembers_; ///< with this daemon, the confirmers first
+    std::set<VmId> fleetConfirmers_; ///< of all regions
     std::map<ServiceName, unsigned> ranks_; ///< by service, until the members change
     Confirmation confirmation_;
     bool registered_ = false;
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -54,6 +54,7 @@
 
 void GroupFeed::start()
 {
+    idle_ = false;
     if (listNeeded_)
         list();
     else
@@ -81,6 +82,20 @@
                  });
 }
 
+void GroupFeed::setWatching(bool watching)
+{
+    watching_ = watching;
+    if (watching_ && idle_)
+        start();
+}
+
+void GroupFeed::watchAgain()
+{
+    idle_ = !watching_ && !failing_;
+    if (!idle_)
+        watch();
+}
+
 void GroupFeed::handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome)
 {
     if (const auto *failure = std::get_if<StoreFailure>(&outcome)) {
@@ -95,7 +110,7 @@
         loaded_ = true;
     if (snapshot.version >= version_)
         handlers_.confirmed(sentAt);
-    watch();
+    watchAgain();
 }
 
 void GroupFeed::handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome)
@@ -106,7 +121,7 @@
     }
     handleAnswer();
     takeChanges(sentAt, std::get<GroupChanges>(outcome));
-    watch();
+    watchAgain();
 }
 
 void GroupFeed::check(Milliseconds wait, std::function<void(bool answered)> callback)
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -30,6 +30,10 @@
     ~GroupFeed();
 
     void start();
+    /// Whether the copy is kept up to date by watches; else only by checks and by peers. A feed
+    /// whose last call failed goes on until the store answers.
+    void setWatching(bool watching);
+    bool watching() const { return watching_; }
     /// True if the snapshot was newer than the copy.
     bool takeSnapshot(const GroupSnapshot &snapshot);
     /// Asks the store for changes beside the waiting watch, which may hear nothing for long. The
@@ -53,6 +57,7 @@
 private:
     void list();
     void watch();
+    void watchAgain();
     void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
     void takeChanges(TimePoint sentAt, const GroupChanges &changes);
     void applyChanges(const GroupChanges &changes);
@@ -73,6 +78,8 @@
     ResourceVersion contentVersion_;
     bool loaded_ = false;
     bool listNeeded_ = true;
+    bool watching_ = true;
+    bool idle_ = true; ///< no list, watch or retry is on its way
     bool failing_ = false;
     unsigned failures_ = 0;
     std::optional<TimePoint> healthySince_;
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -62,6 +62,7 @@
     return boost::json::serialize(boost::json::object{
         {"vm", record.vm.value()},
         {"region", record.region.value()},
+        {"zone", record.zone.value()},
         {"address", formatAddress(record.address)},
     });
 }
@@ -92,9 +93,10 @@
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
     BOOST_LEAF_AUTO(vm, requireString(object, "vm"));
     BOOST_LEAF_AUTO(region, requireString(object, "region"));
+    BOOST_LEAF_AUTO(zone, optionalString(object, "zone"));
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
-    return DaemonRecord{VmId(vm), RegionName(region), address};
+    return DaemonRecord{VmId(vm), RegionName(region), ZoneName(zone.value_or("")), address};
 }
 
 } // namespace pistachiowood
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -37,6 +37,7 @@
 {
     VmId vm;
     RegionName region;
+    ZoneName zone; ///< empty in records of earlier versions
     SocketAddress address;
 };
 
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -152,7 +152,8 @@
                 {id, entry.draining, regionShares[settings.regionOf(entry.zone)]});
     }
     const GroupFeed &endpoints = context_.feed(ObjectGroup::Endpoints);
-    input.registrationsCurrent = !endpoints.failing() && endpoints.healthySince()
+    input.registrationsCurrent = endpoints.watching() && !endpoints.failing()
+                                 && endpoints.healthySince()
                                  && now - *endpoints.healthySince() > registrationsSettle;
     const PrimaryOpinion opinion = peers_.opinionOn(service.name, state.record->primary);
     input.primaryFailingSince = opinion.failingSince;
