Pass on only what a peer lacks of a group

A log of the byte counters showed 25 KB an exchange: each change of one endpoint made every daemon take a copy of all of them.

Ruled out: reports without a copy (about 1 KB each way); promises during the outage (few exchanges when the bytes were highest).

Change: a copy holds the objects newer than the receiver's version and the names of those that are gone; the whole group only when the sender does not know all removals since. A copy of equal content moves the version on, so that confirmations count. A whole copy keeps newer changes of the daemon itself.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -113,9 +113,14 @@
 # One group of the platform's objects as a daemon holds it.
 struct GroupCopy {
   version @0 :UInt64;
-  # False when the receiver is not older; then items is empty.
-  full @1 :Bool;
+  # False when the receiver is not older; then the rest is empty.
+  present @1 :Bool;
   items @2 :List(StoredObject);
+  # True when only the objects changed after the version `since` are in items.
+  partial @3 :Bool;
+  since @4 :UInt64;
+  # Names of objects that are gone since.
+  removed @5 :List(Text);
 }
 
 # Reachability of one primary, as its sender sees it; a negative age means never.
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -432,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88445ca53c02dd47, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(88445ca53c02dd47, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2719,11 +2719,18 @@
 
   inline  ::uint64_t getVersion() const;
 
-  inline bool getFull() const;
+  inline bool getPresent() const;
 
   inline bool hasItems() const;
   inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
+  inline bool getPartial() const;
+
+  inline  ::uint64_t getSince() const;
+
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2755,8 +2762,8 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline bool getFull();
-  inline void setFull(bool value);
+  inline bool getPresent();
+  inline void setPresent(bool value);
 
   inline bool hasItems();
   inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getItems();
@@ -2765,6 +2772,20 @@
   inline void adoptItems(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownItems();
 
+  inline bool getPartial();
+  inline void setPartial(bool value);
+
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5177,16 +5198,16 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupCopy::Reader::getFull() const {
+inline bool GroupCopy::Reader::getPresent() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline bool GroupCopy::Builder::getFull() {
+inline bool GroupCopy::Builder::getPresent() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void GroupCopy::Builder::setFull(bool value) {
+inline void GroupCopy::Builder::setPresent(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
@@ -5225,6 +5246,72 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool GroupCopy::Reader::getPartial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool GroupCopy::Builder::getPartial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setPartial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupCopy::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupCopy::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupCopy::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupCopy::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GroupCopy::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupCopy::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GroupCopy::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GroupCopy::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GroupCopy::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool PrimaryReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -26,25 +26,35 @@
 
 void encodeCopy(const GroupCopy &copy, wire::GroupCopy::Builder builder)
 {
-    builder.setVersion(copy.snapshot.version.value());
-    builder.setFull(true);
-    auto items = builder.initItems(static_cast<unsigned>(copy.snapshot.items.size()));
+    builder.setVersion(copy.version.value());
+    builder.setPresent(true);
+    builder.setPartial(copy.since.has_value());
+    if (copy.since)
+        builder.setSince(copy.since->value());
+    auto removed = builder.initRemoved(static_cast<unsigned>(copy.removed.size()));
+    for (unsigned i = 0; i < removed.size(); ++i)
+        removed.set(i, wireText(copy.removed.at(i)));
+    auto items = builder.initItems(static_cast<unsigned>(copy.items.size()));
     for (unsigned i = 0; i < items.size(); ++i) {
-        const StoredItem &item = copy.snapshot.items.at(i);
+        const StoredItem &item = copy.items.at(i);
         items[i].setName(wireText(item.name));
         items[i].setVersion(item.version.value());
         items[i].setJson(wireText(item.text));
     }
 }
 
-GroupSnapshot decodeCopy(wire::GroupCopy::Reader reader)
+GroupCopy decodeCopy(ObjectGroup group, wire::GroupCopy::Reader reader)
 {
-    GroupSnapshot snapshot{ResourceVersion(reader.getVersion()), {}};
+    GroupCopy copy{.group = group, .version = ResourceVersion(reader.getVersion())};
+    if (reader.getPartial())
+        copy.since = ResourceVersion(reader.getSince());
+    for (const auto name : reader.getRemoved())
+        copy.removed.push_back(plainText(name));
     for (const auto item : reader.getItems()) {
-        snapshot.items.push_back({plainText(item.getName()), ResourceVersion(item.getVersion()),
-                                  plainText(item.getJson())});
+        copy.items.push_back({plainText(item.getName()), ResourceVersion(item.getVersion()),
+                              plainText(item.getJson())});
     }
-    return snapshot;
+    return copy;
 }
 
 void encodeReport(const PeerReport &report, wire::PeerReport::Builder builder)
@@ -101,8 +111,8 @@
     }
     const auto copies = reader.getCopies();
     for (unsigned i = 0; i < copies.size() && i < objectGroupCount; ++i) {
-        if (copies[i].getFull())
-            report.copies.push_back({static_cast<ObjectGroup>(i), decodeCopy(copies[i])});
+        if (copies[i].getPresent())
+            report.copies.push_back(decodeCopy(static_cast<ObjectGroup>(i), copies[i]));
     }
     return report;
 }
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -349,9 +349,9 @@
     const bool tells =
         round == nullptr && state.report
         && state.report->versions.at(recordsIndex) < context_.records().contentVersion();
-    if (tells) {
-        report.copies.push_back({ObjectGroup::Records, context_.records().snapshot()});
-    }
+    if (tells)
+        report.copies.push_back(
+            context_.records().copyFor(state.report->versions.at(recordsIndex)));
     const TimePoint sentAt = context_.clock.now();
     context_.peers.exchange(
         address, report, exchangeTimeout,
@@ -413,7 +413,7 @@
     for (std::size_t i = 0; i < objectGroupCount; ++i) {
         const auto &feed = *context_.feeds.at(i);
         if (feed.loaded() && feed.contentVersion() > peer.versions.at(i))
-            copies.push_back({static_cast<ObjectGroup>(i), feed.snapshot()});
+            copies.push_back(feed.copyFor(peer.versions.at(i)));
     }
     return copies;
 }
@@ -421,7 +421,7 @@
 void FleetPeers::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
 {
     for (const GroupCopy &copy : report.copies)
-        context_.feed(copy.group).takeSnapshot(copy.snapshot);
+        context_.feed(copy.group).takeCopy(copy);
     if (report.vm != context_.settings.vm && members_.count(report.vm) > 0) {
         PeerState &state = peerStates_[report.vm];
         state.report = report;
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -17,6 +17,8 @@
 // Full jitter below these limits: a store that returns is not met by all daemons at once.
 constexpr Milliseconds firstRetry{100};
 constexpr Milliseconds longestRetry{800};
+// Removals that a copy for a peer can name; a peer that lacks more gets the whole group.
+constexpr std::size_t knownRemovals = 256;
 
 std::string_view groupName(ObjectGroup group)
 {
@@ -155,12 +157,19 @@
         if (known != items_.end() && known->second.version >= item.version && !deleted)
             continue;
         changed = true;
-        if (deleted)
+        if (deleted) {
             items_.erase(item.name);
-        else
+            removed_[item.name] = changes.version;
+        } else {
             items_[item.name] = item;
+            removed_.erase(item.name);
+        }
     }
     version_ = changes.version;
+    if (removed_.size() > knownRemovals) {
+        removed_.clear();
+        removalHorizon_ = version_;
+    }
     // Own changes are known before their event, and count with it.
     if (!changes.changes.empty())
         contentVersion_ = changes.version;
@@ -204,11 +213,21 @@
 
 bool GroupFeed::takeSnapshot(const GroupSnapshot &snapshot)
 {
-    if (snapshot.version <= contentVersion_ && loaded_)
+    if (loaded_ && snapshot.version <= version_) {
+        contentVersion_ = std::max(contentVersion_, snapshot.version);
         return false;
-    items_.clear();
+    }
+    std::map<std::string, StoredItem> items;
     for (const StoredItem &item : snapshot.items)
-        items_[item.name] = item;
+        items[item.name] = item;
+    // Own changes can be newer than the snapshot.
+    for (const auto &[name, item] : items_) {
+        if (item.version > snapshot.version)
+            items[name] = item;
+    }
+    items_ = std::move(items);
+    removed_.clear();
+    removalHorizon_ = snapshot.version;
     contentVersion_ = snapshot.version;
     version_ = std::max(version_, snapshot.version);
     loaded_ = true;
@@ -226,11 +245,45 @@
     handlers_.changed();
 }
 
-GroupSnapshot GroupFeed::snapshot() const
+void GroupFeed::takeCopy(const GroupCopy &copy)
+{
+    if (!copy.since) {
+        takeSnapshot({copy.version, copy.items});
+        return;
+    }
+    if (!loaded_ || version_ < *copy.since)
+        return;
+    if (copy.version <= version_) {
+        contentVersion_ = std::max(contentVersion_, copy.version);
+        return;
+    }
+    GroupChanges changes{copy.version, {}};
+    for (const StoredItem &item : copy.items)
+        changes.changes.push_back({item, false});
+    for (const std::string &name : copy.removed) {
+        const auto known = items_.find(name);
+        if (known != items_.end() && known->second.version <= copy.version)
+            changes.changes.push_back({known->second, true});
+    }
+    applyChanges(changes);
+    contentVersion_ = copy.version;
+}
+
+GroupCopy GroupFeed::copyFor(ResourceVersion known) const
 {
-    GroupSnapshot copy{contentVersion_, {}};
-    for (const auto &[name, item] : items_)
-        copy.items.push_back(item);
+    GroupCopy copy{.group = group_, .version = contentVersion_};
+    const bool partial = known >= removalHorizon_;
+    if (partial) {
+        copy.since = known;
+        for (const auto &[name, goneAt] : removed_) {
+            if (goneAt > known)
+                copy.removed.push_back(name);
+        }
+    }
+    for (const auto &[name, item] : items_) {
+        if (!partial || item.version > known)
+            copy.items.push_back(item);
+    }
     return copy;
 }
 
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -34,8 +34,10 @@
     /// whose last call failed goes on until the store answers.
     void setWatching(bool watching);
     bool watching() const { return watching_; }
-    /// True if the snapshot was newer than the copy.
-    bool takeSnapshot(const GroupSnapshot &snapshot);
+    /// Takes what a peer passed on, if it is newer and fits.
+    void takeCopy(const GroupCopy &copy);
+    /// What a peer with that content version lacks.
+    GroupCopy copyFor(ResourceVersion known) const;
     /// Asks the store for changes beside the waiting watch, which may hear nothing for long. The
     /// callback tells whether it answered.
     void check(Milliseconds wait, std::function<void(bool answered)> callback);
@@ -46,7 +48,6 @@
     ResourceVersion version() const { return version_; }
     /// Version with which the content last changed; copies of equal content are not exchanged.
     ResourceVersion contentVersion() const { return contentVersion_; }
-    GroupSnapshot snapshot() const;
     /// Whether the last call to the store failed.
     bool failing() const { return failing_; }
     /// Time since which the store has answered every call.
@@ -56,6 +57,7 @@
 
 private:
     void list();
+    bool takeSnapshot(const GroupSnapshot &snapshot);
     void watch();
     void watchAgain();
     void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
@@ -74,6 +76,9 @@
     Milliseconds watchPeriod_;
     Handlers handlers_;
     std::map<std::string, StoredItem> items_;
+    std::map<std::string, ResourceVersion> removed_; ///< since the horizon, with a version at which
+                                                     ///< the object was gone
+    ResourceVersion removalHorizon_; ///< earlier removals are not known
     ResourceVersion version_;
     ResourceVersion contentVersion_;
     bool loaded_ = false;
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -25,12 +25,6 @@
     Milliseconds positionAge{0}; ///< time since it was asked for the position
 };
 
-struct GroupCopy
-{
-    ObjectGroup group = ObjectGroup::Configuration;
-    GroupSnapshot snapshot;
-};
-
 /// What a daemon tells a peer of the platform's objects and of the primaries. The answer holds
 /// copies of the groups of which the asking daemon has an older version.
 struct PeerReport
--- a/src/takeover/platform_store.h
+++ b/src/takeover/platform_store.h
@@ -38,6 +38,16 @@
     std::vector<StoredItem> items;
 };
 
+/// What a daemon passes on of a group: everything, or what is newer than the receiver's copy.
+struct GroupCopy
+{
+    ObjectGroup group = ObjectGroup::Configuration;
+    ResourceVersion version;
+    std::optional<ResourceVersion> since; ///< unset: the copy holds every object
+    std::vector<StoredItem> items;
+    std::vector<std::string> removed; ///< names of objects that are gone since
+};
+
 struct GroupChange
 {
     StoredItem item;
