Ask a store that is down seldom, and watch it only once the members have registered

Each daemon that missed a confirmation twice checked the records itself, every 50 ms when it was refused, and its watches failed and were repeated up to five times a second.

Ruled out: the steady checks of the six confirmers (20 calls a second).

Change: a check that failed is repeated after 250 ms; daemons of a large fleet whose confirmers answer without news ask the store ten times a second all together, the others of a region still find those answers through its collector; the failed watch of the configuration waits longer the more members there are; watches of endpoints and records begin one second after the start; a failed registration waits a second. Only one confirmer of each region collects the promises of all.

--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -134,8 +134,8 @@
                   : std::min(work_->holdUntil, work_->startedAt + route_.targetLatency / 4);
     // A daemon that was cut off does not get its permission back within the hold, and another one
     // may serve the caller. A replica that was excluded may catch up.
-    const bool cutOff = !services_.primariesPermitted()
-                        && now - services_.permissionLapsedAt() > permissionGap;
+    const bool cutOff =
+        !services_.primariesPermitted() && now - services_.permissionLapsedAt() > permissionGap;
     // Longer from time to time: a lagging replica must not be asked over and over.
     const Milliseconds delay = busyRetryDelay * (1 << std::min(work_->holds++, maxRetryShift));
     const bool hopeless = !replacing && cutOff && work_->excluded.empty();
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -56,7 +56,7 @@
 {
     for (const auto &feed : context_.feeds)
         feed->start();
-    tick();
+    tick(); // decides which feeds watch before the lists have answers
 }
 
 void FleetControl::leave()
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace pistachiowood;
 using namespace std::chrono_literals;
 
@@ -34,8 +36,12 @@
                Callback<GroupChanges> callback) override
     {
         ++watchCalls.at(static_cast<std::size_t>(group));
-        if (wait < 1s)
-            answerCheck(group, from, wait, std::move(callback));
+        const auto &items = groups.at(static_cast<std::size_t>(group));
+        const bool news = std::any_of(items.begin(), items.end(), [&](const auto &entry) {
+            return entry.second.version > from;
+        });
+        if (wait < 1s || (news && !down && !deaf))
+            answerCheck(group, from, wait < 1s ? wait : 0s, std::move(callback));
         else if (down)
             loop.startTimer(1ms, [callback] { callback(StoreFailure::Refused); });
         else
@@ -126,6 +132,8 @@
     bool deaf = false; ///< watches hear nothing
 };
 
+constexpr std::uint16_t firstPeerPort = 1000; // of the peer vm-0, whose successors follow
+
 /// Peers, promotions and the traffic thread of one daemon, as a script.
 struct Surroundings final : public PeerChannel, public PromotionService, public TrafficPort
 {
@@ -134,16 +142,17 @@
     {
     }
 
-    void exchange(const SocketAddress &, const PeerReport &report, Milliseconds,
+    void exchange(const SocketAddress &address, const PeerReport &report, Milliseconds,
                   Callback callback) override
     {
-        loop.post([this, report, callback] {
+        loop.post([this, port = address.port, report, callback] {
             if (!peerAnswers) {
                 callback(Error{ErrorCode::Unavailable, "no answer"});
                 return;
             }
             PeerReport answer;
-            answer.vm = VmId("peer");
+            answer.vm = port < firstPeerPort ? VmId("peer")
+                                             : VmId("vm-" + std::to_string(port - firstPeerPort));
             answer.versions = report.versions;
             answer.obeyedRecords = report.versions.at(2);
             if (peerConfirms)
@@ -234,8 +243,12 @@
     {
         for (unsigned i = 0; i < count; ++i) {
             const VmId vm("vm-" + std::to_string(i));
-            store.change(ObjectGroup::Records, daemonRecordName(vm),
-                         encodeDaemonRecord({vm, RegionName(), ZoneName("z"), {"127.0.0.1", 9}}));
+            store.change(
+                ObjectGroup::Records, daemonRecordName(vm),
+                encodeDaemonRecord({vm,
+                                    RegionName(),
+                                    ZoneName("z"),
+                                    {"127.0.0.1", static_cast<std::uint16_t>(firstPeerPort + i)}}));
         }
     }
 
@@ -428,3 +441,36 @@
     settle(100ms);
     LONGS_EQUAL(before + 1, watchCalls(ObjectGroup::Configuration));
 }
+
+// Guards against a flood of calls to a store that is down: 68 daemons repeated each failed check
+// every 50 ms (7,054 calls in diyavandan-pool-grown trouble-3).
+TEST(FleetControl, daemonOfALargeFleetSeldomAsksAStoreThatIsDown)
+{
+    addPeers(40);
+    around.peerConfirms = true;
+    start(false);
+    settle(1500ms);
+    around.peerConfirms = false; // the confirmers answer without news
+    store.down = true;
+    for (auto &watch : store.watches) {
+        if (auto callback = std::exchange(watch, nullptr))
+            callback(StoreFailure::Refused);
+    }
+    const unsigned checksBefore = store.checkCalls;
+    const unsigned watchesBefore = watchCalls(ObjectGroup::Configuration);
+    settle(4000ms);
+    CHECK_TRUE(store.checkCalls - checksBefore <= 4);
+    CHECK_TRUE(watchCalls(ObjectGroup::Configuration) - watchesBefore <= 8);
+    LONGS_EQUAL(0, watchCalls(ObjectGroup::Records));
+}
+
+// Guards against a daemon that does not hear of changes while it leaves the watches to others.
+TEST(FleetControl, smallFleetWatchesSoonAfterTheStart)
+{
+    start(true);
+    settle(1200ms);
+    LONGS_EQUAL(1, watchCalls(ObjectGroup::Records));
+    store.change(ObjectGroup::Endpoints, "extra", "ready");
+    settle(50ms);
+    LONGS_EQUAL(3, service().endpoints.size());
+}
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -26,6 +26,16 @@
 // replacing primaries. Confirmations are at most 1.6 s old while the store answers.
 constexpr Milliseconds promiseAge{1900};
 constexpr std::size_t smallFleet = 12; // members up to which every daemon asks all others
+// The members register within the first second; a watch of theirs would be answered for each.
+constexpr Milliseconds watchDelay{1000};
+// Between checks that fail: an outage is noticed by the peers, and every call to it is priced.
+constexpr Milliseconds failedCheckDelay{250};
+constexpr Milliseconds registrationRetry{1000}; // with jitter, after a failed one
+// In an outage that the confirmers see too, all others together ask the store ten times a second.
+constexpr Milliseconds ownQuestionCost{100};
+// Longest wait of one daemon before it repeats a failed call, for each member.
+constexpr Milliseconds retryCost{100};
+constexpr unsigned collectorFailures = 2; // after which the next confirmer collects promises
 constexpr Milliseconds largeFleetInterval{500};
 constexpr Milliseconds exchangeInterval{300};
 constexpr Milliseconds exchangeTimeout{600};
@@ -130,8 +140,13 @@
 // events as there are daemons. A daemon that replaces a primary needs the newest records itself.
 void FleetPeers::chooseFeedsToWatch(TimePoint now)
 {
-    const bool watching = !inLargeFleet() || confirmation_.self || now < confirmation_.selfUntil
-                          || !hooks_.mayPromise(now);
+    if (!startedAt_)
+        startedAt_ = now;
+    const bool active = confirmation_.self || now < confirmation_.selfUntil;
+    const bool watching =
+        (!inLargeFleet() || active || !hooks_.mayPromise(now)) && now - *startedAt_ >= watchDelay;
+    if (inLargeFleet() && !active)
+        context_.feed(ObjectGroup::Configuration).setRetryLimit(retryCost * members_.size());
     context_.feed(ObjectGroup::Endpoints).setWatching(watching);
     context_.records().setWatching(watching);
 }
@@ -176,9 +191,12 @@
 void FleetPeers::registerSelf()
 {
     const GroupFeed &records = context_.records();
-    if (registered_ || registering_ || !records.loaded() || records.failing())
+    const TimePoint now = context_.clock.now();
+    if (registered_ || registering_ || !records.loaded() || records.failing()
+        || now < nextRegistration_)
         return;
     registering_ = true;
+    nextRegistration_ = now + jittered(registrationRetry);
     const std::string name = daemonRecordName(context_.settings.vm);
     const auto known = records.items().find(name);
     std::optional<ResourceVersion> expected;
@@ -204,7 +222,8 @@
 
 void FleetPeers::checkRecords(TimePoint now)
 {
-    if (confirmation_.checking)
+    if (confirmation_.checking
+        || (!recordsReachable_ && now - confirmation_.lastAsked < failedCheckDelay))
         return;
     confirmation_.checking = true;
     confirmation_.lastAsked = now;
@@ -234,8 +253,7 @@
         ++confirmation_.next;
         if (++confirmation_.misses >= confirmerMisses) {
             confirmation_.misses = 0;
-            confirmation_.selfUntil = now + selfConfirmation;
-            checkRecords(now);
+            askStore(now);
         }
     } else {
         confirmation_.misses = 0;
@@ -246,6 +264,49 @@
         exchangeWith(vm, member->second.address, false, nullptr);
 }
 
+// The confirmers miss the store, or they miss this daemon. In a large fleet a few questions of all
+// daemons show whether the store answers some of them; the confirmers ask those for promises.
+void FleetPeers::askStore(TimePoint now)
+{
+    const bool confirmersAnswer =
+        std::any_of(confirmation_.confirmers.begin(), confirmation_.confirmers.end(),
+                    [&](const VmId &vm) { return answersLately(vm, now); });
+    if (inLargeFleet() && confirmersAnswer) {
+        if (now < nextOwnQuestion_)
+            return;
+        nextOwnQuestion_ = now + jittered(ownQuestionCost * members_.size());
+    } else {
+        confirmation_.selfUntil = now + selfConfirmation;
+    }
+    checkRecords(now);
+}
+
+bool FleetPeers::answersLately(const VmId &vm, TimePoint now) const
+{
+    const auto state = peerStates_.find(vm);
+    return state != peerStates_.end() && state->second.report && state->second.failures == 0
+           && now - state->second.receivedAt <= reportLifetime;
+}
+
+// Half of the time to one and a half of it.
+Milliseconds FleetPeers::jittered(Milliseconds time)
+{
+    return time / 2
+           + Milliseconds(context_.random.below(static_cast<std::uint64_t>(time.count()) + 1));
+}
+
+// The first confirmer of the region that answers the others.
+const VmId &FleetPeers::collector() const
+{
+    for (const VmId &vm : confirmation_.confirmers) {
+        const auto state = peerStates_.find(vm);
+        if (vm == context_.settings.vm
+            || (state != peerStates_.end() && state->second.failures < collectorFailures))
+            return vm;
+    }
+    return context_.settings.vm;
+}
+
 void FleetPeers::tickPeers(TimePoint now)
 {
     const GroupFeed &records = context_.records();
@@ -256,9 +317,9 @@
     const bool small = !inLargeFleet();
     if (now - lastExchange_ < (small ? exchangeInterval : largeFleetInterval))
         return;
-    // In a large fleet only the confirmers collect the promises of all; the others ask some peers,
-    // so that an outage does not fill the links.
-    if (small || confirmation_.self)
+    // In a large fleet one confirmer of each region collects the promises of all; the others ask it
+    // and some peers, so that an outage does not fill the links.
+    if (small || collector() == context_.settings.vm)
         exchangeWithAll(true);
     else
         exchangeWithSome();
@@ -327,8 +388,7 @@
 void FleetPeers::exchangeWithSome()
 {
     lastExchange_ = context_.clock.now();
-    const VmId &confirmer =
-        confirmation_.confirmers.at(context_.random.below(confirmation_.confirmers.size()));
+    const VmId &confirmer = collector();
     const auto chosen = members_.find(confirmer);
     if (chosen != members_.end())
         exchangeWith(confirmer, chosen->second.address, false, nullptr);
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -101,6 +101,10 @@
     void checkRecords(TimePoint now);
     void checkObjects(ObjectGroup group);
     void askConfirmer(TimePoint now);
+    void askStore(TimePoint now);
+    bool answersLately(const VmId &vm, TimePoint now) const;
+    Milliseconds jittered(Milliseconds time);
+    const VmId &collector() const;
     void tickPeers(TimePoint now);
     void removeLostMembers(TimePoint now);
     void removeMember(const VmId &vm);
@@ -124,6 +128,9 @@
     Confirmation confirmation_;
     bool registered_ = false;
     bool registering_ = false;
+    TimePoint nextRegistration_{}; ///< after a failed one
+    std::optional<TimePoint> startedAt_;
+    TimePoint nextOwnQuestion_{}; ///< to the store, while the confirmers answer without news
     std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
     std::map<VmId, PeerState> peerStates_;
     std::optional<TimePoint> memberRemovedAt_; ///< when the last member's record disappeared
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds answerSlack{700}; // time beyond the wait of a watch until it counts as lost
 // Full jitter below these limits: a store that returns is not met by all daemons at once.
 constexpr Milliseconds firstRetry{100};
-constexpr Milliseconds longestRetry{800};
 // Removals that a copy for a peer can name; a peer that lacks more gets the whole group.
 constexpr std::size_t knownRemovals = 256;
 
@@ -56,11 +55,12 @@
 
 void GroupFeed::start()
 {
+    if (!listNeeded_) {
+        watchAgain();
+        return;
+    }
     idle_ = false;
-    if (listNeeded_)
-        list();
-    else
-        watch();
+    list();
 }
 
 void GroupFeed::list()
@@ -87,14 +87,16 @@
 void GroupFeed::setWatching(bool watching)
 {
     watching_ = watching;
+    if (!watching_ && !listNeeded_)
+        failing_ = false; // what the peers pass on does not depend on it
     if (watching_ && idle_)
         start();
 }
 
 void GroupFeed::watchAgain()
 {
-    idle_ = !watching_ && !failing_;
-    if (!idle_)
+    idle_ = !watching_;
+    if (watching_)
         watch();
 }
 
@@ -193,6 +195,10 @@
         list();
         return;
     }
+    if (!watching_ && !listNeeded_) {
+        idle_ = true; // an old watch has ended; nothing depends on it
+        return;
+    }
     healthySince_.reset();
     if (!std::exchange(failing_, true)) {
         logEvent(Event::PlatformUnavailable,
@@ -203,7 +209,7 @@
 
 void GroupFeed::retryLater()
 {
-    const auto limit = std::min(longestRetry, firstRetry * (1 << std::min(failures_++, 4U)));
+    const auto limit = std::min(retryLimit_, firstRetry * (1 << std::min(failures_++, 6U)));
     const auto delay = Milliseconds(random_.below(static_cast<std::uint64_t>(limit.count())) + 1);
     loop_.startTimer(delay, [this, alive = alive_] {
         if (*alive)
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -30,9 +30,10 @@
     ~GroupFeed();
 
     void start();
-    /// Whether the copy is kept up to date by watches; else only by checks and by peers. A feed
-    /// whose last call failed goes on until the store answers.
+    /// Whether the copy is kept up to date by watches; else only by checks and by peers.
     void setWatching(bool watching);
+    /// Longest wait before a call that failed is repeated.
+    void setRetryLimit(Milliseconds limit) { retryLimit_ = limit; }
     bool watching() const { return watching_; }
     /// Takes what a peer passed on, if it is newer and fits.
     void takeCopy(const GroupCopy &copy);
@@ -83,6 +84,7 @@
     ResourceVersion contentVersion_;
     bool loaded_ = false;
     bool listNeeded_ = true;
+    Milliseconds retryLimit_{800}; ///< a few calls a second of a small fleet during an outage
     bool watching_ = true;
     bool idle_ = true; ///< no list, watch or retry is on its way
     bool failing_ = false;
