Pass a large configuration on only to daemons that ask for it

Ruled out: records and endpoints (copies hold only what is newer).

Change: answers hold a configuration of up to 16 KiB, larger ones only on request. A daemon that has heard of a newer one for a second, longer than the store's watch takes, asks one peer that holds it, one call at a time, three seconds each.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -151,6 +151,8 @@
   promise @4 :Bool;
   primaries @5 :List(PrimaryReport);
   copies @6 :List(GroupCopy);
+  # The answer shall hold the configuration even if it is large.
+  wantsConfiguration @7 :Bool;
 }
 
 interface Peer {
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -2968,6 +2968,8 @@
   inline bool hasCopies() const;
   inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
 
+  inline bool getWantsConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3034,6 +3036,9 @@
   inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>> disownCopies();
 
+  inline bool getWantsConfiguration();
+  inline void setWantsConfiguration(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5646,6 +5651,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::getWantsConfiguration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getWantsConfiguration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsConfiguration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -66,6 +66,7 @@
     builder.setObeyedRecords(report.obeyedRecords.value());
     builder.setConfirmedAgeMs(encodeAge(report.confirmedAge));
     builder.setPromise(report.promise);
+    builder.setWantsConfiguration(report.wantsConfiguration);
     auto primaries = builder.initPrimaries(static_cast<unsigned>(report.primaries.size()));
     for (unsigned i = 0; i < primaries.size(); ++i) {
         const PrimaryReport &primary = report.primaries.at(i);
@@ -96,6 +97,7 @@
     report.obeyedRecords = ResourceVersion(reader.getObeyedRecords());
     report.confirmedAge = decodeAge(reader.getConfirmedAgeMs());
     report.promise = reader.getPromise();
+    report.wantsConfiguration = reader.getWantsConfiguration();
     for (const auto primary : reader.getPrimaries()) {
         PrimaryReport &entry = report.primaries.emplace_back();
         entry.service = ServiceName(plainText(primary.getService()));
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -158,6 +158,8 @@
             if (peerConfirms)
                 answer.confirmedAge = Milliseconds(0);
             answer.promise = report.promise && peerPromises;
+            answer.versions.at(0) = std::max(answer.versions.at(0), peerConfiguration);
+            wantedConfigurations += report.wantsConfiguration ? 1 : 0;
             callback(answer);
         });
     }
@@ -197,6 +199,8 @@
     EventLoop &loop;
     bool peerAnswers = true;
     bool peerPromises = true;
+    ResourceVersion peerConfiguration; ///< newest version of the configuration that peers hold
+    unsigned wantedConfigurations = 0; ///< questions for it
     bool peerConfirms = false; ///< the peers have asked the store just now
     std::optional<EndpointId> leader{EndpointId("p")};
     std::vector<std::pair<EndpointId, std::uint64_t>> promotions;
@@ -474,3 +478,35 @@
     settle(50ms);
     LONGS_EQUAL(3, service().endpoints.size());
 }
+
+// Guards against copies of a large configuration in every answer: 393 MB between regions in
+// ktw-cutlists-grown trouble-1.
+TEST(FleetControl, largeConfigurationGoesOnlyToPeersThatAskForIt)
+{
+    start(true);
+    store.change(ObjectGroup::Configuration, "main", std::string(20000, ' '));
+    settle(1200ms);
+    PeerReport question;
+    question.vm = VmId("peer");
+    const auto holdsConfiguration = [&] {
+        const auto copies = control->handlePeerReport(question).copies;
+        return std::any_of(copies.begin(), copies.end(), [](const GroupCopy &copy) {
+            return copy.group == ObjectGroup::Configuration;
+        });
+    };
+    CHECK_FALSE(holdsConfiguration());
+    question.wantsConfiguration = true;
+    CHECK_TRUE(holdsConfiguration());
+}
+
+// Guards against a daemon that never gets a large configuration while its store is away.
+TEST(FleetControl, newerConfigurationIsFetchedFromOnePeerAtATime)
+{
+    start(true);
+    settle(300ms);
+    store.down = true;
+    around.peerConfiguration = ResourceVersion(1000);
+    settle(4000ms);
+    CHECK_TRUE(around.wantedConfigurations >= 1);
+    CHECK_TRUE(around.wantedConfigurations <= 6);
+}
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace pistachiowood {
@@ -35,6 +36,14 @@
 constexpr Milliseconds ownQuestionCost{100};
 // Longest wait of one daemon before it repeats a failed call, for each member.
 constexpr Milliseconds retryCost{100};
+// Configurations up to this size go with every answer; larger ones to daemons that ask for them.
+constexpr std::size_t smallConfiguration =
+    16384; // bytes; 600 ms of the slowest link carry 45 of them
+// Time for the store's watch to bring a large configuration before a peer is asked for it; it must
+// be in force within 5 s.
+constexpr Milliseconds configurationPatience{1000};
+constexpr Milliseconds configurationTimeout{3000}; // ten daemons share a link of 10 Mbit/s
+constexpr Milliseconds configurationRetry{1000};
 constexpr unsigned collectorFailures = 2; // after which the next confirmer collects promises
 constexpr Milliseconds largeFleetInterval{500};
 constexpr Milliseconds exchangeInterval{300};
@@ -52,6 +61,7 @@
 constexpr Milliseconds failingLately{400};
 
 constexpr auto recordsIndex = static_cast<std::size_t>(ObjectGroup::Records);
+constexpr auto configurationIndex = static_cast<std::size_t>(ObjectGroup::Configuration);
 
 } // namespace
 
@@ -185,6 +195,7 @@
     tickConfirmation(now);
     chooseFeedsToWatch(now);
     tickPeers(now);
+    tickConfiguration(now);
     removeLostMembers(now);
 }
 
@@ -325,6 +336,41 @@
         exchangeWithSome();
 }
 
+// A large configuration is taken from one peer at a time: with every answer it would fill the links
+// of a fleet of which half lacks it while the store is away.
+void FleetPeers::tickConfiguration(TimePoint now)
+{
+    const ResourceVersion own = context_.feed(ObjectGroup::Configuration).contentVersion();
+    std::vector<VmId> holders;
+    for (const auto &[vm, state] : peerStates_) {
+        if (members_.count(vm) > 0 && state.failures == 0 && state.report
+            && state.report->versions.at(configurationIndex) > own)
+            holders.push_back(vm);
+    }
+    if (holders.empty()) {
+        configurationMissedSince_.reset();
+        return;
+    }
+    if (!configurationMissedSince_)
+        configurationMissedSince_ = now;
+    if (fetchingConfiguration_ || now - *configurationMissedSince_ < configurationPatience
+        || now < nextConfigurationFetch_)
+        return;
+    fetchingConfiguration_ = true;
+    nextConfigurationFetch_ = now + jittered(configurationRetry);
+    const VmId &holder = holders.at(context_.random.below(holders.size()));
+    PeerReport report = makeReport();
+    report.wantsConfiguration = true;
+    context_.peers.exchange(members_.at(holder).address, report, configurationTimeout,
+                            [this, alive = context_.alive](const auto &outcome) {
+                                if (!*alive)
+                                    return;
+                                fetchingConfiguration_ = false;
+                                if (const auto *answer = std::get_if<PeerReport>(&outcome))
+                                    takeCopies(*answer);
+                            });
+}
+
 // A VM that is gone for good would delay each replacement and void the promises of the others. The
 // daemon that is removed by mistake finds its record missing and registers again.
 void FleetPeers::removeLostMembers(TimePoint now)
@@ -383,6 +429,8 @@
         if (seed != context_.settings.peerAddress)
             exchangeWith(VmId(), seed, false, nullptr);
     }
+    if (nextConfigurationFetch_ <= lastExchange_)
+        nextConfigurationFetch_ = lastExchange_ + configurationRetry;
 }
 
 void FleetPeers::exchangeWithSome()
@@ -405,6 +453,10 @@
         return;
     PeerReport report = makeReport();
     report.promise = wantPromise;
+    // Without a configuration, seeds are asked for it, a second apart.
+    report.wantsConfiguration = vm.value().empty()
+                                && !context_.feed(ObjectGroup::Configuration).loaded()
+                                && context_.clock.now() >= nextConfigurationFetch_;
     // Copies go with answers; only an announcement is worth sending unasked.
     const bool tells =
         round == nullptr && state.report
@@ -472,16 +524,27 @@
     std::vector<GroupCopy> copies;
     for (std::size_t i = 0; i < objectGroupCount; ++i) {
         const auto &feed = *context_.feeds.at(i);
-        if (feed.loaded() && feed.contentVersion() > peer.versions.at(i))
-            copies.push_back(feed.copyFor(peer.versions.at(i)));
+        if (!feed.loaded() || feed.contentVersion() <= peer.versions.at(i))
+            continue;
+        GroupCopy copy = feed.copyFor(peer.versions.at(i));
+        const auto size = std::accumulate(
+            copy.items.begin(), copy.items.end(), std::size_t{0},
+            [](std::size_t sum, const StoredItem &item) { return sum + item.text.size(); });
+        if (i != configurationIndex || peer.wantsConfiguration || size <= smallConfiguration)
+            copies.push_back(std::move(copy));
     }
     return copies;
 }
 
-void FleetPeers::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
+void FleetPeers::takeCopies(const PeerReport &report)
 {
     for (const GroupCopy &copy : report.copies)
         context_.feed(copy.group).takeCopy(copy);
+}
+
+void FleetPeers::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
+{
+    takeCopies(report);
     if (report.vm != context_.settings.vm && members_.count(report.vm) > 0) {
         PeerState &state = peerStates_[report.vm];
         state.report = report;
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -108,12 +108,14 @@
     void tickPeers(TimePoint now);
     void removeLostMembers(TimePoint now);
     void removeMember(const VmId &vm);
+    void tickConfiguration(TimePoint now);
     void exchangeWithAll(bool wantPromise);
     void exchangeWithSome();
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
     PeerReport makeReport() const;
     std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
+    void takeCopies(const PeerReport &report);
     void takeReport(const PeerReport &report, TimePoint sentAt, bool answer);
     void probeFor(const PeerReport &report);
     bool mayPromise(TimePoint now) const;
@@ -131,6 +133,9 @@
     TimePoint nextRegistration_{}; ///< after a failed one
     std::optional<TimePoint> startedAt_;
     TimePoint nextOwnQuestion_{}; ///< to the store, while the confirmers answer without news
+    std::optional<TimePoint> configurationMissedSince_; ///< a peer has a newer one since
+    TimePoint nextConfigurationFetch_{};
+    bool fetchingConfiguration_ = false;
     std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
     std::map<VmId, PeerState> peerStates_;
     std::optional<TimePoint> memberRemovedAt_; ///< when the last member's record disappeared
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -34,6 +34,7 @@
     ResourceVersion obeyedRecords; ///< version of the records that the sender's traffic obeys
     std::optional<Milliseconds> confirmedAge; ///< since its records were known to be complete
     bool promise = false; ///< asked for, or given: no replacement is announced for a while
+    bool wantsConfiguration = false; ///< the answer shall hold it even if it is large
     std::vector<PrimaryReport> primaries;
     std::vector<GroupCopy> copies;
 };
