Explore the replacement of a primary through all combinations of its faults

Ruled out: a model of its own, which could differ from the code. The test drives PrimaryReplacement, DutyLease and PrimaryPermission.

Change: a test that plays 14 s in virtual time for each combination of lost contact, delayed answers, two suspensions and the fates of three calls. It looks for commits at a replaced primary and for promotions with an old fencing token. Five further tests turn one mechanism off each and must find a violation.

--- /dev/null
+++ b/src/takeover/replacement_exploration_test.cpp
@@ -0,0 +1,439 @@
+#include "takeover/duty_lease.h"
+#include "takeover/primary_permission.h"
+#include "takeover/primary_replacement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <deque>
+#include <functional>
+
+using namespace pistachiowood;
+using namespace std::chrono_literals;
+
+// Plays the decision objects of a replacement through every combination of the faults below, in
+// virtual time: two daemons that replace a primary, and a third that still reaches the old one and
+// loses the store. The third daemon must never commit at the old primary after another one leads.
+
+namespace {
+
+constexpr Milliseconds step{250}; // coarser than any delay that the decisions distinguish
+constexpr unsigned horizon = 56; // steps: 14 s, two replacements that each wait for a lost duty
+constexpr unsigned primaryFailsAt = 4; // step from which the replacing daemons miss the primary
+const TimePoint epoch{std::chrono::hours(1)};
+const EndpointId oldPrimary("old");
+const EndpointId replica("replica");
+
+TimePoint timeOf(unsigned number)
+{
+    return epoch + step * static_cast<int>(number);
+}
+
+struct Suspension
+{
+    unsigned from = 0;
+    unsigned length = 0;
+
+    bool covers(unsigned now) const { return now >= from && now < from + length; }
+};
+
+/// What becomes of the first call of a kind.
+enum class CallFate { Answered, AnswerLost, DoneLate, Refused };
+
+struct Scenario
+{
+    unsigned storeLostAt = 0; ///< step from which the committing daemon hears nothing of the store
+    unsigned answerDelay = 0; ///< steps that an answer of the store takes
+    Suspension committer;
+    Suspension replacer;
+    CallFate duty = CallFate::Answered;
+    CallFate announcement = CallFate::Answered;
+    CallFate promotion = CallFate::Answered;
+};
+
+/// Each mechanism that must hold; a test turns one off and expects a violation.
+struct Safeguards
+{
+    bool bootClock = true; ///< permissions count the time of a suspension
+    bool countedFromQuestion = true; ///< and run from when the question was sent
+    bool waitsForPermissions = true; ///< a replacement waits until all have run out
+    bool obeysAnnouncement = true; ///< an announced replacement ends the use of the primary
+    bool dutyChecked = true; ///< promotions need the duty
+};
+
+struct World
+{
+    struct Versioned
+    {
+        PrimaryRecord record;
+        ResourceVersion version;
+    };
+
+    ResourceVersion version{5};
+    Versioned service{{ServiceName("db"), oldPrimary, false, VmId("a"), 0}, ResourceVersion(5)};
+    std::optional<DutyRecord> duty;
+    ResourceVersion dutyVersion;
+    std::optional<unsigned> replacedAt; ///< step at which another endpoint became the primary
+    std::uint64_t highestToken = 0;
+    VmId highestTokenOwner;
+    std::string violation;
+};
+
+/// One daemon that may replace the primary.
+struct Replacer
+{
+    Replacer(const std::string &name, unsigned daemonRank)
+        : vm(name)
+        , replacement(ServiceName("db"), vm)
+        , lease(vm)
+        , rank(daemonRank)
+    {
+    }
+
+    VmId vm;
+    PrimaryReplacement replacement;
+    DutyLease lease;
+    unsigned rank;
+    std::optional<World::Versioned> known;
+    TimePoint knownSince{};
+    std::optional<std::function<void(TimePoint)>> result; ///< of the open call
+    std::array<bool, 3> callMade{}; ///< first calls meet the fate of the scenario
+};
+
+class Exploration
+{
+public:
+    Exploration(const Scenario &scenario, const Safeguards &safeguards)
+        : scenario_(scenario)
+        , safeguards_(safeguards)
+    {
+    }
+
+    /// Empty, or what went wrong.
+    std::string play()
+    {
+        for (now_ = 0; now_ < horizon && world_.violation.empty(); ++now_) {
+            doLateChanges();
+            history_.push_back(world_.service);
+            stepCommitter();
+            stepReplacer(first_, scenario_.replacer.covers(now_));
+            stepReplacer(second_, false);
+        }
+        return world_.violation;
+    }
+
+    bool replaced() const { return world_.replacedAt.has_value(); }
+
+private:
+    void stepCommitter()
+    {
+        if (scenario_.committer.covers(now_)) {
+            committerSlept_ += 1;
+            return;
+        }
+        // Answers to all questions that are due, sent while the daemon ran and reached the store.
+        for (; nextAnswer_ + scenario_.answerDelay <= now_; ++nextAnswer_) {
+            if (nextAnswer_ >= scenario_.storeLostAt || scenario_.committer.covers(nextAnswer_))
+                continue;
+            committerCopy_ = history_.at(nextAnswer_);
+            permission_.confirm(safeguards_.countedFromQuestion ? timeOf(nextAnswer_)
+                                                                : committerClock());
+        }
+        if (!committerCopy_ || !permission_.expiresAt()
+            || committerClock() >= *permission_.expiresAt())
+            return;
+        const PrimaryRecord &record = committerCopy_->record;
+        if (record.primary != oldPrimary || (record.replacing && safeguards_.obeysAnnouncement))
+            return;
+        if (world_.replacedAt && now_ >= *world_.replacedAt)
+            world_.violation = "commit at the old primary after another one was promoted";
+    }
+
+    TimePoint committerClock() const
+    {
+        return timeOf(safeguards_.bootClock ? now_ : now_ - committerSlept_);
+    }
+
+    void stepReplacer(Replacer &replacer, bool suspended)
+    {
+        if (suspended)
+            return;
+        if (auto result = std::exchange(replacer.result, std::nullopt))
+            (*result)(timeOf(now_));
+        if (now_ >= scenario_.answerDelay) {
+            const World::Versioned &copy = history_.at(now_ - scenario_.answerDelay);
+            if (!replacer.known || copy.version > replacer.known->version) {
+                replacer.known = copy;
+                replacer.knownSince = timeOf(now_);
+            }
+            if (world_.duty && scenario_.answerDelay == 0)
+                replacer.lease.observe(world_.duty, world_.dutyVersion, timeOf(now_));
+        }
+        if (world_.duty && now_ % 2 == 0) // a watch brings the duty record with some delay
+            replacer.lease.observe(world_.duty, world_.dutyVersion, timeOf(now_));
+        if (!replacer.known)
+            return;
+        if (const auto command = replacer.replacement.step(collectInput(replacer)))
+            execute(replacer, *command);
+    }
+
+    ReplacementInput collectInput(const Replacer &replacer) const
+    {
+        ReplacementInput input;
+        input.now = timeOf(now_);
+        input.record = replacer.known->record;
+        input.recordVersion = replacer.known->version;
+        input.recordSince = replacer.knownSince;
+        input.candidates = {{oldPrimary, false, 1}, {replica, false, 1}};
+        input.registrationsCurrent = true;
+        if (now_ >= primaryFailsAt)
+            input.primaryFailingSince = timeOf(primaryFailsAt);
+        input.peersFailing = 1;
+        input.peersAsked = 2;
+        input.mayAnnounce = true;
+        input.dutyHeld = !safeguards_.dutyChecked || replacer.lease.held(input.now);
+        input.dutyAvailable = !input.dutyHeld && replacer.lease.available(input.now);
+        input.allWithdrawn = !safeguards_.waitsForPermissions;
+        input.rank = replacer.rank;
+        return input;
+    }
+
+    void execute(Replacer &replacer, const ReplacementCommand &command)
+    {
+        PrimaryReplacement &replacement = replacer.replacement;
+        if (std::holds_alternative<TakeDutyCommand>(command)) {
+            takeDuty(replacer);
+        } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
+            const auto version =
+                putRecord(replacer, announcement->record, 1, scenario_.announcement);
+            replacer.result = [&replacement, version](TimePoint now) {
+                replacement.handleAnnounced(version, now);
+            };
+        } else if (std::holds_alternative<SurveyCommand>(command)) {
+            const bool leads = world_.replacedAt.has_value();
+            const Term term(leads ? 2 : 1);
+            replacer.result = [&replacement, leads, term](TimePoint now) {
+                replacement.handleSurvey({{replica, {leads, term, {Term(1), LogPosition(4)}}}},
+                                         now);
+            };
+        } else if (std::holds_alternative<PromoteCommand>(command)) {
+            promote(replacer);
+        } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
+            const auto version = putRecord(replacer, publication->record, 0, CallFate::Answered);
+            replacer.result = [&replacement, version](TimePoint now) {
+                replacement.handlePublished(version.has_value(), now);
+            };
+        }
+    }
+
+    void takeDuty(Replacer &replacer)
+    {
+        const TimePoint sentAt = timeOf(now_);
+        const DutyRecord proposed = replacer.lease.propose(sentAt);
+        const auto expected = replacer.lease.expectedVersion();
+        const CallFate fate = fateOf(replacer, 2, scenario_.duty);
+        const auto change = [this, proposed, expected] {
+            const bool matches = world_.duty ? expected == world_.dutyVersion : !expected;
+            if (matches) {
+                world_.duty = proposed;
+                world_.dutyVersion = nextVersion();
+            }
+            return matches;
+        };
+        bool taken = false;
+        if (fate == CallFate::DoneLate)
+            late_.emplace_back(now_ + lateBy, [change] { change(); });
+        else if (fate != CallFate::Refused)
+            taken = change();
+        taken = taken && fate == CallFate::Answered;
+        replacer.result = [&replacer, proposed, sentAt, taken,
+                           version = world_.dutyVersion](TimePoint now) {
+            if (taken)
+                replacer.lease.accept(proposed, version, sentAt, now);
+            replacer.replacement.handleDutyTaken(taken, now);
+        };
+    }
+
+    std::optional<ResourceVersion> putRecord(Replacer &replacer, const PrimaryRecord &record,
+                                             std::size_t kind, CallFate scenarioFate)
+    {
+        const ResourceVersion expected = replacer.known->version;
+        const CallFate fate = kind == 0 ? scenarioFate : fateOf(replacer, kind, scenarioFate);
+        const auto change = [this, record, expected]() -> std::optional<ResourceVersion> {
+            if (world_.service.version != expected)
+                return std::nullopt;
+            world_.service = {record, nextVersion()};
+            return world_.service.version;
+        };
+        if (fate == CallFate::Refused)
+            return std::nullopt;
+        if (fate == CallFate::DoneLate) {
+            late_.emplace_back(now_ + lateBy, [change] { change(); });
+            return std::nullopt;
+        }
+        const auto version = change();
+        if (version) { // the copy holds an own change at once
+            replacer.known = world_.service;
+            replacer.knownSince = timeOf(now_);
+        }
+        return fate == CallFate::Answered ? version : std::nullopt;
+    }
+
+    void promote(Replacer &replacer)
+    {
+        const CallFate fate = fateOf(replacer, 0, scenario_.promotion);
+        const std::uint64_t token = replacer.lease.fencingToken();
+        const bool stale =
+            token < world_.highestToken
+            || (token == world_.highestToken && !(world_.highestTokenOwner == replacer.vm));
+        if (stale)
+            world_.violation = "promotion with a fencing token that is not newer than the last";
+        world_.highestToken = token;
+        world_.highestTokenOwner = replacer.vm;
+        const bool done = fate != CallFate::Refused;
+        if (done && !world_.replacedAt)
+            world_.replacedAt = now_ + 1;
+        const auto outcome = fate == CallFate::Answered ? PromotionOutcome::Accepted
+                             : done                     ? PromotionOutcome::NoAnswer
+                                                        : PromotionOutcome::Refused;
+        replacer.result = [&replacer, outcome](TimePoint now) {
+            replacer.replacement.handlePromoted(outcome, now);
+        };
+    }
+
+    static CallFate fateOf(Replacer &replacer, std::size_t kind, CallFate fate)
+    {
+        const bool first = replacer.rank == 0 && !std::exchange(replacer.callMade.at(kind), true);
+        return first ? fate : CallFate::Answered;
+    }
+
+    void doLateChanges()
+    {
+        while (!late_.empty() && late_.front().first <= now_) {
+            const auto change = std::move(late_.front().second);
+            late_.pop_front();
+            change();
+        }
+    }
+
+    ResourceVersion nextVersion()
+    {
+        return world_.version = ResourceVersion(world_.version.value() + 1);
+    }
+
+    static constexpr unsigned lateBy = 10; // steps
+
+    const Scenario &scenario_;
+    const Safeguards &safeguards_;
+    World world_;
+    Replacer first_{"a", 0};
+    Replacer second_{"b", 1};
+    PrimaryPermission permission_;
+    std::optional<World::Versioned> committerCopy_;
+    unsigned committerSlept_ = 0;
+    unsigned nextAnswer_ = 0;
+    std::vector<World::Versioned> history_; ///< of the service record, by step
+    std::deque<std::pair<unsigned, std::function<void()>>> late_;
+    unsigned now_ = 0;
+};
+
+struct Summary
+{
+    unsigned scenarios = 0;
+    unsigned replaced = 0;
+    unsigned violations = 0;
+    std::string first;
+};
+
+std::vector<Suspension> suspensions(const std::vector<unsigned> &starts,
+                                    const std::vector<unsigned> &lengths)
+{
+    std::vector<Suspension> all{{}};
+    for (const unsigned from : starts) {
+        for (const unsigned length : lengths)
+            all.push_back({from, length});
+    }
+    return all;
+}
+
+Summary explore(const Safeguards &safeguards, bool untilFirst)
+{
+    const auto committers = suspensions({3, 8, 12, 16, 20}, {8, 24});
+    const auto replacers = suspensions({8, 11, 14, 18, 22, 25}, {8, 30});
+    Summary summary;
+    const auto play = [&](const Scenario &scenario) {
+        if (untilFirst && summary.violations > 0)
+            return;
+        ++summary.scenarios;
+        Exploration exploration(scenario, safeguards);
+        const std::string violation = exploration.play();
+        summary.replaced += exploration.replaced() ? 1 : 0;
+        if (violation.empty())
+            return;
+        if (summary.violations++ == 0)
+            summary.first = violation;
+    };
+    for (const unsigned lostAt : {1U, 4U, 8U, 9U, 10U, 12U, 16U, 24U, 40U}) {
+        for (const unsigned delay : {0U, 1U, 4U}) {
+            for (const Suspension &committer : committers) {
+                for (const Suspension &replacer : replacers) {
+                    for (const CallFate duty : {CallFate::Answered, CallFate::AnswerLost,
+                                                CallFate::DoneLate, CallFate::Refused}) {
+                        for (const CallFate announcement :
+                             {CallFate::Answered, CallFate::AnswerLost, CallFate::DoneLate}) {
+                            for (const CallFate promotion :
+                                 {CallFate::Answered, CallFate::AnswerLost})
+                                play({lostAt, delay, committer, replacer, duty, announcement,
+                                      promotion});
+                        }
+                    }
+                }
+            }
+        }
+    }
+    return summary;
+}
+
+} // namespace
+
+TEST_GROUP(ReplacementExploration){static void expectViolation(const Safeguards &safeguards){
+    CHECK_TRUE(explore(safeguards, true).violations > 0);
+}
+}
+;
+
+// Guards against any combination of lost answers, late changes, suspensions and lost contact that
+// lets a daemon commit at a replaced primary or order a promotion with an old fencing token.
+TEST(ReplacementExploration, noCombinationOfFaultsBreaksTheProtocol)
+{
+    const Summary summary = explore({}, false);
+    STRCMP_EQUAL("", summary.first.c_str());
+    LONGS_EQUAL(0, summary.violations);
+    CHECK_TRUE(summary.replaced * 10 >= summary.scenarios * 9); // the faults do not prevent it
+}
+
+// The following guard against an exploration that cannot fail: each mechanism is needed.
+TEST(ReplacementExploration, clockThatStopsInASuspensionBreaksIt)
+{
+    expectViolation({.bootClock = false});
+}
+
+TEST(ReplacementExploration, permissionFromTheArrivalOfAnAnswerBreaksIt)
+{
+    expectViolation({.countedFromQuestion = false});
+}
+
+TEST(ReplacementExploration, replacementWithoutTheWaitBreaksIt)
+{
+    expectViolation({.waitsForPermissions = false});
+}
+
+TEST(ReplacementExploration, announcementThatIsNotObeyedBreaksIt)
+{
+    expectViolation({.obeysAnnouncement = false});
+}
+
+TEST(ReplacementExploration, promotionWithoutTheDutyBreaksIt)
+{
+    expectViolation({.dutyChecked = false});
+}
