Keep primaries on the side of most daemons when the network splits

A permission without the store needed the promises of all members, so all services lost their primaries although nobody could have replaced them for good reason.

Ruled out: longer permissions (each failover would wait as long); demotion of a reachable primary instead of a permission (reads on the former primary stay stale, and a replacement cannot reach every primary); forwarding through peers (the sides of a split cannot reach each other).

Change: the promises of most members renew a permission for up to 8 s after the store's last answer. A replacement that not all daemons acknowledged takes effect 2.5 s after at least half did, else 10.5 s after its announcement; two such halves always share a daemon. The count takes in members that were removed or joined lately: a lost member's record is marked and deleted only after 10.5 s, and daemons younger than that leave failed primaries to others for a second.

Tests: FleetControl and PrimaryReplacement for both limits; ReplacementExploration gained the majority that leaves or stays, and finds violations with unlimited promises and with silent daemons counted. The earlier check that an unreachable peer is waited out for 2.5 s now starts with a daemon that knows its members.

A primary that fails while more than half of the daemons are lost is replaced after 10.5 s instead of 2.5 s.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -153,6 +153,8 @@
   copies @6 :List(GroupCopy);
   # The answer shall hold the configuration even if it is large.
   wantsConfiguration @7 :Bool;
+  # Time since the store confirmed the sender's records, to it or to a peer; negative means never.
+  storeConfirmedAgeMs @8 :Int64;
 }
 
 interface Peer {
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -462,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962558a1e02a3998, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(962558a1e02a3998, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2970,6 +2970,8 @@
 
   inline bool getWantsConfiguration() const;
 
+  inline  ::int64_t getStoreConfirmedAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3039,6 +3041,9 @@
   inline bool getWantsConfiguration();
   inline void setWantsConfiguration(bool value);
 
+  inline  ::int64_t getStoreConfirmedAgeMs();
+  inline void setStoreConfirmedAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5665,6 +5670,20 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t PeerReport::Reader::getStoreConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerReport::Builder::getStoreConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setStoreConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -65,6 +65,7 @@
         versions.set(i, report.versions.at(i).value());
     builder.setObeyedRecords(report.obeyedRecords.value());
     builder.setConfirmedAgeMs(encodeAge(report.confirmedAge));
+    builder.setStoreConfirmedAgeMs(encodeAge(report.storeConfirmedAge));
     builder.setPromise(report.promise);
     builder.setWantsConfiguration(report.wantsConfiguration);
     auto primaries = builder.initPrimaries(static_cast<unsigned>(report.primaries.size()));
@@ -96,6 +97,7 @@
         report.versions.at(i) = ResourceVersion(versions[i]);
     report.obeyedRecords = ResourceVersion(reader.getObeyedRecords());
     report.confirmedAge = decodeAge(reader.getConfirmedAgeMs());
+    report.storeConfirmedAge = decodeAge(reader.getStoreConfirmedAgeMs());
     report.promise = reader.getPromise();
     report.wantsConfiguration = reader.getWantsConfiguration();
     for (const auto primary : reader.getPrimaries()) {
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -44,7 +44,7 @@
     makeFeed(ObjectGroup::Configuration, {[this] { handleConfiguration(); }, [](TimePoint) {}});
     makeFeed(ObjectGroup::Endpoints, {[this] { handleEndpoints(); }, [](TimePoint) {}});
     makeFeed(ObjectGroup::Records,
-             {[this] { handleRecords(); }, [this](TimePoint at) { peers_.confirmRecords(at); }});
+             {[this] { handleRecords(); }, [this](TimePoint at) { peers_.confirmByStore(at); }});
 }
 
 FleetControl::~FleetControl()
@@ -121,6 +121,7 @@
 void FleetControl::handleRecords()
 {
     std::map<VmId, DaemonRecord> members;
+    std::map<VmId, DaemonRecord> removed;
     bool registered = false;
     for (const auto &stored : context_.records().items()) {
         const StoredItem &item = stored.second;
@@ -128,9 +129,10 @@
         case RecordKind::Member:
             if (const auto member = readItem([&] { return decodeDaemonRecord(item.text); }, item)) {
                 if (member->vm == context_.settings.vm)
-                    registered = member->address == context_.settings.peerAddress;
+                    registered =
+                        !member->removed && member->address == context_.settings.peerAddress;
                 else
-                    members.emplace(member->vm, *member);
+                    (member->removed ? removed : members).emplace(member->vm, *member);
             }
             break;
         case RecordKind::Duty:
@@ -145,7 +147,7 @@
             break;
         }
     }
-    peers_.setMembers(std::move(members), registered);
+    peers_.setMembers(std::move(members), std::move(removed), registered);
     scheduleView();
 }
 
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace pistachiowood;
 using namespace std::chrono_literals;
@@ -90,7 +91,7 @@
         });
     }
 
-    void deleteRecord(const std::string &, Milliseconds,
+    void deleteRecord(const std::string &, ResourceVersion, Milliseconds,
                       Callback<ResourceVersion> callback) override
     {
         callback(version);
@@ -134,6 +135,18 @@
 
 constexpr std::uint16_t firstPeerPort = 1000; // of the peer vm-0, whose successors follow
 
+/// Boot time that a test moves ahead, as after a long life of the daemon.
+class ShiftedClock final : public Clock
+{
+public:
+    TimePoint now() const override { return clock_.now() + shift; }
+
+    Milliseconds shift{0};
+
+private:
+    BootClock clock_;
+};
+
 /// Peers, promotions and the traffic thread of one daemon, as a script.
 struct Surroundings final : public PeerChannel, public PromotionService, public TrafficPort
 {
@@ -146,13 +159,14 @@
                   Callback callback) override
     {
         loop.post([this, port = address.port, report, callback] {
-            if (!peerAnswers) {
+            const std::string name =
+                port < firstPeerPort ? "peer" : "vm-" + std::to_string(port - firstPeerPort);
+            if (!peerAnswers || silentPeers.count(name) > 0) {
                 callback(Error{ErrorCode::Unavailable, "no answer"});
                 return;
             }
             PeerReport answer;
-            answer.vm = port < firstPeerPort ? VmId("peer")
-                                             : VmId("vm-" + std::to_string(port - firstPeerPort));
+            answer.vm = VmId(name);
             answer.versions = report.versions;
             answer.obeyedRecords = report.versions.at(2);
             if (peerConfirms)
@@ -199,6 +213,7 @@
     EventLoop &loop;
     bool peerAnswers = true;
     bool peerPromises = true;
+    std::set<std::string> silentPeers;
     ResourceVersion peerConfiguration; ///< newest version of the configuration that peers hold
     unsigned wantedConfigurations = 0; ///< questions for it
     bool peerConfirms = false; ///< the peers have asked the store just now
@@ -213,7 +228,7 @@
 TEST_GROUP(FleetControl)
 {
     EventLoop loop;
-    BootClock clock;
+    ShiftedClock clock;
     SeededRandom random{7};
     MemoryStore store{loop};
     Surroundings around{loop};
@@ -268,6 +283,13 @@
         running.run();
     }
 
+    // As if the daemon had seen its members for as long as a permission can last.
+    void establish()
+    {
+        clock.shift += PrimaryPermission::longestLifetime;
+        settle(3s); // longer than the promises that the jump of the clock brought about
+    }
+
     const ServiceView &service()
     {
         return around.view->services.at(ServiceName("db"));
@@ -330,17 +352,76 @@
 
 // Guards against a promotion before a daemon that cannot be told has lost its permission.
 TEST(FleetControl, unreachablePeerIsWaitedOut)
+{
+    start(true);
+    settle(500ms);
+    establish();
+    around.peerAnswers = false;
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    settle(1500ms);
+    LONGS_EQUAL(0, around.promotions.size());
+    settle(2500ms);
+    LONGS_EQUAL(1, around.promotions.size());
+}
+
+// Guards against a promotion by a daemon that cannot know which daemons were removed just before
+// its start, while those may still use the primary.
+TEST(FleetControl, newDaemonWaitsLongerForAnUnreachablePeer)
 {
     start(true);
     settle(500ms);
     around.peerAnswers = false;
     store.change(ObjectGroup::Endpoints, "p", "draining");
+    settle(4500ms);
+    LONGS_EQUAL(0, around.promotions.size());
+    establish();
+    LONGS_EQUAL(1, around.promotions.size());
+}
+
+// Guards against a promotion that does not wait for a daemon that was taken out of the members and
+// may be cut off with a permission in force.
+TEST(FleetControl, removedDaemonIsStillWaitedFor)
+{
+    start(false);
+    store.change(
+        ObjectGroup::Records, daemonRecordName(VmId("gone")),
+        encodeDaemonRecord({VmId("gone"), RegionName(), ZoneName("z"), {"127.0.0.1", 9}, true}));
+    settle(500ms);
+    establish();
+    store.change(ObjectGroup::Endpoints, "p", "draining");
     settle(1500ms);
     LONGS_EQUAL(0, around.promotions.size());
     settle(2500ms);
     LONGS_EQUAL(1, around.promotions.size());
 }
 
+// Guards against lost primaries on the side of most daemons when the network splits (trouble-1 of
+// diyavandan-pool), and against promises without end, which would stop every replacement.
+TEST(FleetControl, promisesOfMostDaemonsKeepThePermissionForAWhile)
+{
+    addPeers(4);
+    start(true);
+    settle(1500ms);
+    around.silentPeers.insert("peer");
+    store.down = true;
+    settle(5000ms);
+    CHECK_TRUE(around.permittedUntil > clock.now());
+    settle(7000ms);
+    CHECK_TRUE(around.permittedUntil < clock.now());
+}
+
+// Guards against a permission by promises of fewer than most daemons.
+TEST(FleetControl, promisesOfHalfOfTheDaemonsDoNotKeepThePermission)
+{
+    addPeers(4);
+    start(true);
+    settle(1500ms);
+    around.silentPeers = {"peer", "vm-0", "vm-1"};
+    store.down = true;
+    settle(4000ms);
+    CHECK_TRUE(around.permittedUntil < clock.now());
+}
+
 // Guards against lost primaries during an outage of the store that all daemons see.
 TEST(FleetControl, promisesOfAllDaemonsKeepThePermission)
 {
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -46,6 +46,7 @@
 constexpr Milliseconds configurationRetry{1000};
 constexpr unsigned collectorFailures = 2; // after which the next confirmer collects promises
 constexpr Milliseconds largeFleetInterval{500};
+constexpr Milliseconds renewalInterval{200}; // half of what is left of an old permission
 constexpr Milliseconds exchangeInterval{300};
 constexpr Milliseconds exchangeTimeout{600};
 // A daemon that has just joined is unknown to daemons that are cut off from the store.
@@ -71,20 +72,31 @@
 {
 }
 
-void FleetPeers::setMembers(std::map<VmId, DaemonRecord> members, bool registered)
+void FleetPeers::setMembers(std::map<VmId, DaemonRecord> members,
+                            std::map<VmId, DaemonRecord> removed, bool registered)
 {
     const TimePoint now = context_.clock.now();
+    if (!membersKnownSince_)
+        membersKnownSince_ = now;
     registered_ = registered;
-    const bool removed = std::any_of(members_.begin(), members_.end(), [&](const auto &entry) {
-        return members.count(entry.first) == 0;
-    });
-    if (removed)
-        memberRemovedAt_ = now;
+    if (!registered)
+        registeredSince_.reset();
+    else if (!registeredSince_)
+        registeredSince_ = now;
     members_ = std::move(members);
+    removed_ = std::move(removed);
     ranks_.clear();
-    for (const auto &[vm, member] : members_)
+    for (const auto &[vm, member] : members_) {
         peerStates_.try_emplace(vm, PeerState{.receivedAt = now});
+        memberSince_.try_emplace(vm, now);
+    }
+    for (const auto &[vm, member] : removed_)
+        removedSince_.try_emplace(vm, now);
     std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
+    std::erase_if(memberSince_,
+                  [&](const auto &entry) { return members_.count(entry.first) == 0; });
+    std::erase_if(removedSince_,
+                  [&](const auto &entry) { return removed_.count(entry.first) == 0; });
     chooseConfirmers();
 }
 
@@ -161,6 +173,12 @@
     context_.records().setWatching(watching);
 }
 
+void FleetPeers::confirmByStore(TimePoint at)
+{
+    storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
+    confirmRecords(at);
+}
+
 void FleetPeers::confirmRecords(TimePoint at)
 {
     // A daemon that is not a member is not waited for when a primary is replaced.
@@ -213,8 +231,7 @@
     std::optional<ResourceVersion> expected;
     if (known != records.items().end())
         expected = known->second.version;
-    else
-        registeredAt_ = context_.clock.now();
+    registeredAt_ = now;
     const std::string text =
         encodeDaemonRecord({context_.settings.vm, context_.settings.region, context_.settings.zone,
                             context_.settings.peerAddress});
@@ -326,11 +343,16 @@
     if (recordsReachable_ && !records.failing() && !(old && records.loaded()))
         return;
     const bool small = !inLargeFleet();
-    if (now - lastExchange_ < (small ? exchangeInterval : largeFleetInterval))
+    const bool collects = small || collector() == context_.settings.vm;
+    // A permission of the collector that was just renewed must be passed on before others run out.
+    const Milliseconds interval = small              ? exchangeInterval
+                                  : old && !collects ? renewalInterval
+                                                     : largeFleetInterval;
+    if (now - lastExchange_ < interval)
         return;
     // In a large fleet one confirmer of each region collects the promises of all; the others ask it
     // and some peers, so that an outage does not fill the links.
-    if (small || collector() == context_.settings.vm)
+    if (collects)
         exchangeWithAll(true);
     else
         exchangeWithSome();
@@ -386,6 +408,7 @@
     if (!watching || !storeSettled || now - lastLossCheck_ < lossCheckInterval)
         return;
     lastLossCheck_ = now;
+    deleteRemoved(now);
     for (const VmId &vm : regionMembers_) {
         const auto state = peerStates_.find(vm);
         const auto member = members_.find(vm);
@@ -404,12 +427,32 @@
     if (std::exchange(peerStates_[vm].removing, true))
         return;
     logEvent(Event::MemberDead, {{"vm", vm.value()}});
-    context_.store.deleteRecord(daemonRecordName(vm), recordTimeout,
-                                [this, alive = context_.alive, vm](const auto &) {
-                                    // The watch shows whether the record is gone.
-                                    if (*alive && peerStates_.count(vm) > 0)
-                                        peerStates_[vm].removing = false;
-                                });
+    DaemonRecord record = members_.at(vm);
+    record.removed = true;
+    const std::string name = daemonRecordName(vm);
+    const auto known = context_.records().items().find(name);
+    if (known == context_.records().items().end())
+        return;
+    context_.putRecord(name, known->second.version, encodeDaemonRecord(record),
+                       [this, vm](const auto &) {
+                           // The records show whether it was taken out.
+                           if (const auto state = peerStates_.find(vm); state != peerStates_.end())
+                               state->second.removing = false;
+                       });
+}
+
+void FleetPeers::deleteRemoved(TimePoint now)
+{
+    for (auto &[vm, since] : removedSince_) {
+        if (now - since < PrimaryPermission::longestLifetime)
+            continue;
+        since = now; // tries again much later, should the call fail
+        const std::string name = daemonRecordName(vm);
+        const auto known = context_.records().items().find(name);
+        if (known != context_.records().items().end())
+            context_.store.deleteRecord(name, known->second.version, recordTimeout,
+                                        [](const auto &) {});
+    }
 }
 
 void FleetPeers::exchangeWithAll(bool wantPromise)
@@ -479,18 +522,28 @@
                 return;
             takeReport(*answer, sentAt, true);
             hooks_.reportReceived();
-            if (!round || !answer->promise || ++round->promised < round->asked)
-                return;
-            // No daemon reaches the store, and none will announce a replacement for
-            // the period of a permission.
-            const TimePoint now = context_.clock.now();
-            if (mayPromise(now)) {
-                promisedUntil_ = now + PrimaryPermission::period;
-                confirmRecords(round->startedAt);
-            }
+            if (round && answer->promise)
+                countPromise(*round);
         });
 }
 
+// With the promises of all, none announces a replacement for the period of a permission. With those
+// of most, a replacement lacks the acknowledgements that would let it take effect soon, but it
+// waits for them only so long: permissions end a fixed time after the store's last answer.
+void FleetPeers::countPromise(PromiseRound &round)
+{
+    const TimePoint now = context_.clock.now();
+    ++round.promised;
+    const bool all = round.promised == round.asked;
+    const bool most = 2 * (round.promised + 1) > round.asked + 1;
+    const bool recent = storeConfirmedAt_
+                        && round.startedAt <= *storeConfirmedAt_ + PrimaryPermission::majorityLimit;
+    if (!(all || (most && recent)) || !mayPromise(now))
+        return;
+    promisedUntil_ = now + PrimaryPermission::period;
+    confirmRecords(round.startedAt);
+}
+
 PeerReport FleetPeers::makeReport() const
 {
     const TimePoint now = context_.clock.now();
@@ -501,6 +554,8 @@
     report.obeyedRecords = obeyedRecords_;
     if (const auto confirmed = permission_.confirmedAt())
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
+    if (storeConfirmedAt_)
+        report.storeConfirmedAge = std::chrono::ceil<Milliseconds>(now - *storeConfirmedAt_);
     for (const auto &[service, evidence] : evidence_) {
         PrimaryReport primary{.service = service,
                               .endpoint = evidence.endpoint,
@@ -558,8 +613,13 @@
         }
     }
     // The sender's confirmation covers this daemon only if its records are as new.
-    if (answer && report.confirmedAge
-        && context_.records().contentVersion() >= report.versions.at(recordsIndex))
+    if (!answer || context_.records().contentVersion() < report.versions.at(recordsIndex))
+        return;
+    if (report.storeConfirmedAge) {
+        const TimePoint at = sentAt - *report.storeConfirmedAge;
+        storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
+    }
+    if (report.confirmedAge)
         confirmRecords(sentAt - *report.confirmedAge);
 }
 
@@ -623,18 +683,40 @@
     return !promised(now) && (!newcomer || members_.empty());
 }
 
+bool FleetPeers::established(TimePoint now) const
+{
+    return membersKnownSince_ && now - *membersKnownSince_ >= PrimaryPermission::longestLifetime;
+}
+
+bool FleetPeers::obeys(const VmId &vm, ResourceVersion version) const
+{
+    const auto state = peerStates_.find(vm);
+    return state != peerStates_.end() && state->second.report
+           && state->second.report->obeyedRecords >= version;
+}
+
 bool FleetPeers::allWithdrawn(ResourceVersion version) const
 {
-    if (obeyedRecords_ < version)
-        return false;
-    // A daemon whose record was removed lately may still rely on its last confirmation.
-    if (memberRemovedAt_ && context_.clock.now() - *memberRemovedAt_ < PrimaryPermission::period)
+    // A daemon that was removed may be cut off, with a permission that is still in force.
+    return obeyedRecords_ >= version && removed_.empty()
+           && std::all_of(members_.begin(), members_.end(),
+                          [&](const auto &member) { return obeys(member.first, version); });
+}
+
+// Those that do not obey may count other members than this daemon does: removed ones still, and new
+// ones not yet. Only daemons that all count may stand against them.
+bool FleetPeers::halfWithdrawn(ResourceVersion version) const
+{
+    const TimePoint now = context_.clock.now();
+    const auto old = [&](const std::optional<TimePoint> &since) {
+        return since && now - *since >= PrimaryPermission::longestLifetime;
+    };
+    if (!established(now))
         return false;
-    return std::all_of(members_.begin(), members_.end(), [&](const auto &member) {
-        const auto state = peerStates_.find(member.first);
-        return state != peerStates_.end() && state->second.report
-               && state->second.report->obeyedRecords >= version;
-    });
+    std::size_t obeying = obeyedRecords_ >= version && old(registeredSince_) ? 1 : 0;
+    for (const auto &[vm, since] : memberSince_)
+        obeying += old(since) && obeys(vm, version) ? 1 : 0;
+    return 2 * obeying >= members_.size() + removed_.size() + 1;
 }
 
 PrimaryOpinion FleetPeers::opinionOn(const ServiceName &service, const EndpointId &endpoint) const
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -41,10 +41,11 @@
     FleetPeers(FleetContext &context, Hooks hooks);
 
     /// Daemons by the member records, without this one, and whether it has a record itself.
-    void setMembers(std::map<VmId, DaemonRecord> members, bool registered);
+    void setMembers(std::map<VmId, DaemonRecord> members, std::map<VmId, DaemonRecord> removed,
+                    bool registered);
     std::size_t memberCount() const { return members_.size(); }
-    /// The records hold every change made before the time.
-    void confirmRecords(TimePoint at);
+    /// The store has shown that the records hold every change made before the time.
+    void confirmByStore(TimePoint at);
     /// The traffic thread obeys the records of that version.
     void noteObeyed(ResourceVersion version) { obeyedRecords_ = std::max(obeyedRecords_, version); }
     void handleEvidence(std::vector<PrimaryEvidence> evidence);
@@ -57,8 +58,12 @@
     /// Whether this daemon has promised not to announce or promote.
     bool promised(TimePoint now) const { return now < promisedUntil_; }
     bool mayAnnounce(TimePoint now) const;
-    /// Whether every known daemon obeys the records of that version.
+    /// Whether every daemon that may use a primary obeys the records of that version.
     bool allWithdrawn(ResourceVersion version) const;
+    /// Whether at least half of them do, whichever of the lately known members the others count.
+    bool halfWithdrawn(ResourceVersion version) const;
+    /// Whether this daemon has seen the members for as long as a permission can last.
+    bool established(TimePoint now) const;
     PrimaryOpinion opinionOn(const ServiceName &service, const EndpointId &endpoint) const;
     /// Order in which the daemons act for the service.
     unsigned rankFor(const ServiceName &service);
@@ -93,6 +98,8 @@
         std::size_t promised = 0;
     };
 
+    void confirmRecords(TimePoint at);
+    bool obeys(const VmId &vm, ResourceVersion version) const;
     void chooseConfirmers();
     bool inLargeFleet() const;
     void chooseFeedsToWatch(TimePoint now);
@@ -108,11 +115,13 @@
     void tickPeers(TimePoint now);
     void removeLostMembers(TimePoint now);
     void removeMember(const VmId &vm);
+    void deleteRemoved(TimePoint now);
     void tickConfiguration(TimePoint now);
     void exchangeWithAll(bool wantPromise);
     void exchangeWithSome();
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
+    void countPromise(PromiseRound &round);
     PeerReport makeReport() const;
     std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
     void takeCopies(const PeerReport &report);
@@ -138,7 +147,12 @@
     bool fetchingConfiguration_ = false;
     std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
     std::map<VmId, PeerState> peerStates_;
-    std::optional<TimePoint> memberRemovedAt_; ///< when the last member's record disappeared
+    std::map<VmId, DaemonRecord> removed_; ///< daemons whose permissions may still be in force
+    std::map<VmId, TimePoint> removedSince_; ///< as this daemon saw it
+    std::map<VmId, TimePoint> memberSince_;
+    std::optional<TimePoint> membersKnownSince_;
+    std::optional<TimePoint> registeredSince_;
+    std::optional<TimePoint> storeConfirmedAt_; ///< by this daemon's own question or a peer's
     std::map<ServiceName, PrimaryEvidence> evidence_;
     PrimaryPermission permission_;
     std::optional<TimePoint> sentPermission_;
--- a/src/takeover/group_feed_test.cpp
+++ b/src/takeover/group_feed_test.cpp
@@ -34,7 +34,10 @@
     {
     }
 
-    void deleteRecord(const std::string &, Milliseconds, Callback<ResourceVersion>) override {}
+    void deleteRecord(const std::string &, ResourceVersion, Milliseconds,
+                      Callback<ResourceVersion>) override
+    {
+    }
 
     Result<DeploymentConfiguration> decodeConfiguration(const StoredItem &) override
     {
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -33,6 +33,7 @@
     std::array<ResourceVersion, objectGroupCount> versions;
     ResourceVersion obeyedRecords; ///< version of the records that the sender's traffic obeys
     std::optional<Milliseconds> confirmedAge; ///< since its records were known to be complete
+    std::optional<Milliseconds> storeConfirmedAge; ///< the same by the store, not by promises
     bool promise = false; ///< asked for, or given: no replacement is announced for a while
     bool wantsConfiguration = false; ///< the answer shall hold it even if it is large
     std::vector<PrimaryReport> primaries;
--- a/src/takeover/platform_store.h
+++ b/src/takeover/platform_store.h
@@ -93,8 +93,9 @@
     virtual void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
                            const std::string &text, Milliseconds timeout,
                            Callback<ResourceVersion> callback) = 0;
-    virtual void deleteRecord(const std::string &name, Milliseconds timeout,
-                              Callback<ResourceVersion> callback) = 0;
+    /// Deletes a record of that version.
+    virtual void deleteRecord(const std::string &name, ResourceVersion expected,
+                              Milliseconds timeout, Callback<ResourceVersion> callback) = 0;
 
     virtual Result<DeploymentConfiguration> decodeConfiguration(const StoredItem &item) = 0;
     /// The error says why the entry names no endpoint that can be used.
--- a/src/takeover/primary_permission.h
+++ b/src/takeover/primary_permission.h
@@ -37,9 +37,21 @@
         return *confirmedAt_ + period - margin;
     }
 
-    /// Time from which a replacement announced at the given time may take effect although some
-    /// daemons have not acknowledged it.
-    static TimePoint effectiveFrom(TimePoint announcedAt) { return announcedAt + period; }
+    /// For how long after the store's last answer the promises of most daemons renew a permission.
+    /// Outlasts a split of the network of 7 s; a replacement that most daemons do not acknowledge
+    /// waits as long.
+    static constexpr Milliseconds majorityLimit{8000};
+    /// Age from which a change of the members is known to all permissions in force.
+    static constexpr Milliseconds longestLifetime{majorityLimit + period};
+
+    /// Time from which a replacement may take effect that at least half of the daemons had
+    /// acknowledged by the given time: the others cannot renew their permission without them.
+    static TimePoint effectiveFrom(TimePoint acknowledgedAt) { return acknowledgedAt + period; }
+    /// The same without acknowledgements.
+    static TimePoint effectiveWithoutOthers(TimePoint announcedAt)
+    {
+        return announcedAt + longestLifetime;
+    }
 
 private:
     std::optional<TimePoint> confirmedAt_;
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds unfinishedLimit{5000};
 // Head start of each daemon before the next in rank acts on the same reason.
 constexpr Milliseconds rankDelay{200};
+// Head start of daemons that have seen the members for long: they need not wait as long for lost
+// ones.
+constexpr Milliseconds newcomerDelay{1000};
 constexpr Milliseconds peerQuestionInterval{150};
 // With many daemons the questions are spread out, to 200 a second.
 constexpr Milliseconds peerQuestionCost{5};
@@ -115,6 +118,8 @@
                                          return candidate.id == input.record->primary;
                                      });
     Milliseconds delay = rankDelay * input.rank;
+    if (reason != Reason::Planned && !input.established)
+        delay += newcomerDelay;
     if (reason == Reason::Unfinished && input.record->changedBy != self_)
         delay += unfinishedLimit;
     if (reason == Reason::Failed && !present)
@@ -156,6 +161,7 @@
         return std::nullopt;
     }
     oldPrimary_ = input.record->primary;
+    halfWithdrawnAt_.reset();
     statuses_.clear();
     surveySince_.reset();
     finalPosition_.reset();
@@ -175,7 +181,12 @@
 
 std::optional<ReplacementCommand> PrimaryReplacement::withdraw(const ReplacementInput &input)
 {
-    if (input.allWithdrawn || input.now >= PrimaryPermission::effectiveFrom(*announcedAt_)) {
+    if (input.halfWithdrawn && !halfWithdrawnAt_)
+        halfWithdrawnAt_ = input.now;
+    const bool ranOut =
+        input.now >= PrimaryPermission::effectiveWithoutOthers(*announcedAt_)
+        || (halfWithdrawnAt_ && input.now >= PrimaryPermission::effectiveFrom(*halfWithdrawnAt_));
+    if (input.allWithdrawn || ranOut) {
         enter(Stage::Surveying, input.now);
         return survey(input);
     }
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -38,7 +38,9 @@
     bool dutyHeld = false;
     bool dutyAvailable = false;
     bool allWithdrawn = false; ///< every known daemon has stopped using the primary
+    bool halfWithdrawn = false; ///< at least half have, so that the others are no majority
     unsigned rank = 0; ///< order in which the daemons act
+    bool established = true; ///< has seen the members for as long as a permission can last
     unsigned syncReplicas = 0;
 };
 
@@ -136,6 +138,7 @@
     std::optional<TimePoint> reasonSince_;
     std::uint64_t attempt_ = 0;
     std::optional<TimePoint> announcedAt_;
+    std::optional<TimePoint> halfWithdrawnAt_;
     ResourceVersion announcedVersion_;
     EndpointId oldPrimary_;
     std::map<EndpointId, ReplicationStatus> statuses_;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -97,10 +97,26 @@
 
 // Guards against a promotion while a daemon may still use the old primary.
 TEST(PrimaryReplacement, waitsForAcknowledgementsOrThePeriod)
+{
+    announce();
+    input.now += 300ms;
+    input.halfWithdrawn = true;
+    const TimePoint acknowledgedAt = input.now;
+    while (input.now < PrimaryPermission::effectiveFrom(acknowledgedAt)) {
+        const auto command = replacement.step(input);
+        CHECK_TRUE(!command || std::holds_alternative<AskPeersCommand>(*command));
+        input.now += 50ms;
+    }
+    CHECK_TRUE(commands<SurveyCommand>());
+}
+
+// Guards against a promotion while most daemons, cut off from this one, still promise each other
+// the old primary.
+TEST(PrimaryReplacement, withoutMostDaemonsWaitsUntilTheirPromisesEnd)
 {
     announce();
     const TimePoint announcedAt = input.now;
-    while (input.now < PrimaryPermission::effectiveFrom(announcedAt)) {
+    while (input.now < PrimaryPermission::effectiveWithoutOthers(announcedAt)) {
         const auto command = replacement.step(input);
         CHECK_TRUE(!command || std::holds_alternative<AskPeersCommand>(*command));
         input.now += 50ms;
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -64,6 +64,7 @@
         {"region", record.region.value()},
         {"zone", record.zone.value()},
         {"address", formatAddress(record.address)},
+        {"removed", record.removed},
     });
 }
 
@@ -96,7 +97,9 @@
     BOOST_LEAF_AUTO(zone, optionalString(object, "zone"));
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
-    return DaemonRecord{VmId(vm), RegionName(region), ZoneName(zone.value_or("")), address};
+    BOOST_LEAF_AUTO(removed, optionalBool(object, "removed"));
+    return DaemonRecord{VmId(vm), RegionName(region), ZoneName(zone.value_or("")), address,
+                        removed.value_or(false)};
 }
 
 } // namespace pistachiowood
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -39,6 +39,8 @@
     RegionName region;
     ZoneName zone; ///< empty in records of earlier versions
     SocketAddress address;
+    /// Taken out after a loss; the record stays until all permissions of the daemon have run out.
+    bool removed = false;
 };
 
 std::string primaryRecordName(const ServiceName &service);
--- a/src/takeover/replacement_exploration_test.cpp
+++ b/src/takeover/replacement_exploration_test.cpp
@@ -18,7 +18,8 @@
 namespace {
 
 constexpr Milliseconds step{250}; // coarser than any delay that the decisions distinguish
-constexpr unsigned horizon = 56; // steps: 14 s, two replacements that each wait for a lost duty
+constexpr unsigned horizon =
+    76; // steps: 19 s, a replacement that waits for permissions by promises
 constexpr unsigned primaryFailsAt = 4; // step from which the replacing daemons miss the primary
 const TimePoint epoch{std::chrono::hours(1)};
 const EndpointId oldPrimary("old");
@@ -46,6 +47,9 @@
     unsigned answerDelay = 0; ///< steps that an answer of the store takes
     Suspension committer;
     Suspension replacer;
+    /// Step from which most daemons no longer stand with the committing one, and obey what the
+    /// replacing ones announce. From then on its side gives no promises that suffice.
+    unsigned majorityLeavesAt = 0;
     CallFate duty = CallFate::Answered;
     CallFate announcement = CallFate::Answered;
     CallFate promotion = CallFate::Answered;
@@ -59,6 +63,8 @@
     bool waitsForPermissions = true; ///< a replacement waits until all have run out
     bool obeysAnnouncement = true; ///< an announced replacement ends the use of the primary
     bool dutyChecked = true; ///< promotions need the duty
+    bool promisesEnd = true; ///< promises of most daemons renew a permission for a limited time
+    bool waitsForTheOthers = true; ///< a replacement does not count daemons that did not answer
 };
 
 struct World
@@ -138,7 +144,9 @@
             committerCopy_ = history_.at(nextAnswer_);
             permission_.confirm(safeguards_.countedFromQuestion ? timeOf(nextAnswer_)
                                                                 : committerClock());
+            storeConfirmed_ = timeOf(nextAnswer_);
         }
+        renewByPromises();
         if (!committerCopy_ || !permission_.expiresAt()
             || committerClock() >= *permission_.expiresAt())
             return;
@@ -149,6 +157,17 @@
             world_.violation = "commit at the old primary after another one was promoted";
     }
 
+    // Promises come from daemons that know nothing newer than the committing one.
+    void renewByPromises()
+    {
+        const bool recent =
+            storeConfirmed_
+            && committerClock() <= *storeConfirmed_ + PrimaryPermission::majorityLimit;
+        if (committerCopy_ && now_ < scenario_.majorityLeavesAt
+            && (recent || !safeguards_.promisesEnd))
+            permission_.confirm(committerClock());
+    }
+
     TimePoint committerClock() const
     {
         return timeOf(safeguards_.bootClock ? now_ : now_ - committerSlept_);
@@ -194,6 +213,7 @@
         input.dutyHeld = !safeguards_.dutyChecked || replacer.lease.held(input.now);
         input.dutyAvailable = !input.dutyHeld && replacer.lease.available(input.now);
         input.allWithdrawn = !safeguards_.waitsForPermissions;
+        input.halfWithdrawn = now_ >= scenario_.majorityLeavesAt || !safeguards_.waitsForTheOthers;
         input.rank = replacer.rank;
         return input;
     }
@@ -330,6 +350,7 @@
     Replacer second_{"b", 1};
     PrimaryPermission permission_;
     std::optional<World::Versioned> committerCopy_;
+    std::optional<TimePoint> storeConfirmed_;
     unsigned committerSlept_ = 0;
     unsigned nextAnswer_ = 0;
     std::vector<World::Versioned> history_; ///< of the service record, by step
@@ -373,6 +394,8 @@
         if (summary.violations++ == 0)
             summary.first = violation;
     };
+    // With a majority that leaves never, only the fixed end of its promises protects a replacement.
+    const std::array<unsigned, 4> majorities{0, 14, 24, horizon};
     for (const unsigned lostAt : {1U, 4U, 8U, 9U, 10U, 12U, 16U, 24U, 40U}) {
         for (const unsigned delay : {0U, 1U, 4U}) {
             for (const Suspension &committer : committers) {
@@ -382,9 +405,11 @@
                         for (const CallFate announcement :
                              {CallFate::Answered, CallFate::AnswerLost, CallFate::DoneLate}) {
                             for (const CallFate promotion :
-                                 {CallFate::Answered, CallFate::AnswerLost})
-                                play({lostAt, delay, committer, replacer, duty, announcement,
-                                      promotion});
+                                 {CallFate::Answered, CallFate::AnswerLost}) {
+                                for (const unsigned leavesAt : majorities)
+                                    play({lostAt, delay, committer, replacer, leavesAt, duty,
+                                          announcement, promotion});
+                            }
                         }
                     }
                 }
@@ -437,3 +462,13 @@
 {
     expectViolation({.dutyChecked = false});
 }
+
+TEST(ReplacementExploration, promisesWithoutAnEndBreakIt)
+{
+    expectViolation({.promisesEnd = false});
+}
+
+TEST(ReplacementExploration, replacementThatCountsSilentDaemonsBreaksIt)
+{
+    expectViolation({.waitsForTheOthers = false});
+}
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -165,7 +165,9 @@
     input.dutyHeld = duty_.held(now);
     input.dutyAvailable = !input.dutyHeld && duty_.available(now) && !recordsFailing;
     input.allWithdrawn = peers_.allWithdrawn(state.recordVersion);
+    input.halfWithdrawn = peers_.halfWithdrawn(state.recordVersion);
     input.rank = peers_.rankFor(service.name);
+    input.established = peers_.established(now);
     return input;
 }
 
