--- a/tests/property/input_property.cpp
+++ b/tests/property/input_property.cpp
@@ -9,6 +9,7 @@
 #include "net/address_overrides.h"
 #include "net/http_codec.h"
 #include "net/request_target.h"
+#include "property/altered_input.h"
 #include "sessions/session_token_codec.h"
 
 #include <cstdio>
@@ -124,31 +125,6 @@
     };
 }
 
-// Changes, removes, repeats or inserts bytes of a sample.
-std::string mutate(std::string text)
-{
-    const auto edits = *rc::gen::inRange<std::size_t>(0, 8);
-    for (std::size_t i = 0; i < edits; ++i) {
-        const auto at = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
-        const auto length = *rc::gen::inRange<std::size_t>(0, 40);
-        switch (*rc::gen::inRange(0, 4)) {
-        case 0:
-            text.erase(at, length);
-            break;
-        case 1:
-            text.insert(at, text.substr(at / 2, length));
-            break;
-        case 2:
-            text.insert(at, *rc::gen::arbitrary<std::string>());
-            break;
-        default:
-            if (at < text.size())
-                text[at] = *rc::gen::arbitrary<char>();
-        }
-    }
-    return text;
-}
-
 // Guards against input from outside that crashes a parser, makes it loop, or is read out of bounds
 // (the asan preset).
 bool survivesInput(const Target &target)
--- /dev/null
+++ b/tests/property/line_codec_property.cpp
@@ -0,0 +1,139 @@
+#include "base/log.h"
+#include "platform/line_codec.h"
+#include "property/altered_input.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <rapidcheck.h>
+
+using namespace pistachiowood;
+
+namespace {
+
+const std::vector<std::string> callerSamples{
+    "START orders",
+    "QUERY 5c0e READ 1a4",
+    "QUERY 5c0e WRITE 1a4 some  data ",
+    "QUERY 5c0e BEGIN",
+    "QUERY 5c0e COMMIT",
+    "QUERY 5c0e PREPARE s1 WRITE q2c",
+    "QUERY 5c0e EXEC s1 1a4 xkqp wnzd",
+    "BYE",
+};
+
+const std::vector<std::string> endReplies{"DONE 7.1f3", "DONE -", "ERR LAGGING i-1",
+                                          "ERR NEWCODE x"};
+const std::vector<std::string> readyLines{"READY T 3.9", "READY I -", "READY E -"};
+
+// Guards against lines that depend on how the network cuts the bytes.
+bool linesDoNotDependOnTheCuts()
+{
+    return rc::check("lines do not depend on the cuts", [] {
+        const auto text =
+            *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab \r\n")));
+        const auto collect = [](const std::vector<std::string> &pieces) {
+            std::vector<std::string> lines;
+            std::string input;
+            std::string line;
+            for (const std::string &piece : pieces) {
+                input += piece;
+                while (takeLine(input, line) == LineState::Complete)
+                    lines.push_back(line);
+            }
+            lines.push_back(input);
+            return lines;
+        };
+        const auto cut = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        RC_ASSERT(collect({text}) == collect({text.substr(0, cut), text.substr(cut)}));
+    });
+}
+
+// Guards against a statement that reaches the endpoint with another text, or as two lines.
+bool acceptedStatementsArePassedOnUnchanged()
+{
+    return rc::check("accepted statements are passed on unchanged", [] {
+        std::string line = mutate(*rc::gen::elementOf(callerSamples));
+        std::erase(line, '\n'); // ends a line before the decoder sees it
+        const CallerMessage message = decodeCallerMessage(line);
+        if (message.kind != CallerMessage::Kind::Statement
+            || message.statement.verb == Verb::Malformed)
+            return;
+        const std::string sent = encodeStatement(message.statement);
+        RC_ASSERT(sent == line + "\r\n");
+        RC_ASSERT(decodeCallerMessage(sent.substr(0, sent.size() - 2)).statement.verb
+                  == message.statement.verb);
+    });
+}
+
+// Guards against a reply that changes on its way to the caller.
+bool repliesAreRelayedUnchanged()
+{
+    const auto linesOf = [](std::string text) {
+        std::vector<std::string> lines;
+        std::string line;
+        while (takeLine(text, line) == LineState::Complete)
+            lines.push_back(line);
+        return lines;
+    };
+    return rc::check("replies are relayed unchanged", [&] {
+        ReplyDecoder decoder;
+        for (auto lines = *rc::gen::inRange(0, 6); lines > 0; --lines) {
+            std::string row = "ROW " + mutate("a b");
+            std::erase(row, '\n');
+            std::erase(row, '\r');
+            RC_ASSERT(decoder.addLine(row) == ReplyDecoder::State::NeedMore);
+        }
+        decoder.addLine(*rc::gen::elementOf(endReplies));
+        RC_ASSERT(decoder.addLine(*rc::gen::elementOf(readyLines))
+                  == ReplyDecoder::State::Complete);
+        const std::string relayed = encodeReply(decoder.takeReply());
+        ReplyDecoder again;
+        for (const std::string &line : linesOf(relayed))
+            RC_ASSERT(again.addLine(line) != ReplyDecoder::State::Invalid);
+        RC_ASSERT(encodeReply(again.takeReply()) == relayed);
+    });
+}
+
+// Guards against lines from an endpoint that crash the decoder or leave it in a state that no line
+// ends.
+bool decoderSurvivesAlteredLines()
+{
+    return rc::check("decoder survives altered lines", [] {
+        ReplyDecoder decoder;
+        for (const std::string &sample : endReplies)
+            decoder.addLine(mutate(sample));
+        for (const std::string &sample : readyLines)
+            decoder.addLine(mutate(sample));
+        decodeStatusRow(mutate("replica 3 3.1209 0 12 2 17"));
+        decoder.takeReply();
+        RC_ASSERT(decoder.addLine("DONE 1.a") == ReplyDecoder::State::NeedMore);
+        RC_ASSERT(decoder.addLine("READY I -") == ReplyDecoder::State::Complete);
+    });
+}
+
+// Guards against rows without the line that ends them, such as the endpoint's signature.
+bool rowsWithoutAnEndAreInvalid()
+{
+    return rc::check("rows without an end are invalid", [] {
+        ReplyDecoder decoder;
+        const auto count = *rc::gen::inRange(1, 5);
+        for (int i = 0; i < count; ++i)
+            RC_ASSERT(decoder.addLine("ROW a") == ReplyDecoder::State::NeedMore);
+        RC_ASSERT(decoder.addLine("READY I 3.9") == ReplyDecoder::State::Invalid);
+    });
+}
+
+} // namespace
+
+int main()
+{
+    disableLogging();
+    bool passed = linesDoNotDependOnTheCuts();
+    passed = acceptedStatementsArePassedOnUnchanged() && passed;
+    passed = repliesAreRelayedUnchanged() && passed;
+    passed = decoderSurvivesAlteredLines() && passed;
+    passed = rowsWithoutAnEndAreInvalid() && passed;
+    return passed ? 0 : 1;
+}
