Name the members of the gateway's test endpoints like other private members

Cause: the linter, run by hand over test files, refused two names and a vector without reserved capacity. Change: names and one reserve.

--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -26,7 +26,7 @@
             , number(linkNumber)
         {
         }
-        ~Link() override { endpoints.open.erase(this); }
+        ~Link() override { endpoints.open_.erase(this); }
         void send(const SessionStatement &statement) override
         {
             endpoints.sent.push_back({endpoint, number, statement});
@@ -49,7 +49,7 @@
     };
 
     explicit ScriptedEndpoints(EventLoop &eventLoop)
-        : loop(eventLoop)
+        : loop_(eventLoop)
     {
     }
 
@@ -58,9 +58,9 @@
     {
         ++dials;
         auto link = std::make_unique<Link>(*this, endpoint.id, listener, dials);
-        open.insert(link.get());
-        loop.post([this, raw = link.get(), id = endpoint.id] {
-            if (open.count(raw) == 0)
+        open_.insert(link.get());
+        loop_.post([this, raw = link.get(), id = endpoint.id] {
+            if (open_.count(raw) == 0)
                 return;
             if (unreachable.count(id) > 0)
                 raw->listener.handleLinkFailed(LinkFailure::Unreachable, "refused");
@@ -98,13 +98,13 @@
         return count;
     }
 
-    std::size_t openLinks() const { return open.size(); }
+    std::size_t openLinks() const { return open_.size(); }
 
     void breakLinks(const EndpointId &id)
     {
-        const auto links = open;
+        const auto links = open_;
         for (Link *link : links) {
-            if (open.count(link) > 0 && link->endpoint == id)
+            if (open_.count(link) > 0 && link->endpoint == id)
                 link->listener.handleLinkFailed(LinkFailure::Lost, "reset");
         }
     }
@@ -112,8 +112,8 @@
 private:
     void answerLater(Link *link)
     {
-        loop.post([this, link] {
-            if (open.count(link) > 0 && silent.count(link->endpoint) == 0)
+        loop_.post([this, link] {
+            if (open_.count(link) > 0 && silent.count(link->endpoint) == 0)
                 answer(*link);
         });
     }
@@ -144,8 +144,8 @@
         link.listener.handleLinkReply(reply);
     }
 
-    EventLoop &loop;
-    std::set<Link *> open;
+    EventLoop &loop_;
+    std::set<Link *> open_;
 };
 
 struct RecordingChannel final : public CallerChannel
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -346,6 +346,7 @@
     execute(makeStatement(Verb::Read));
     std::vector<RecordingChannel> channels(20);
     std::vector<Gateway::SessionId> sessions;
+    sessions.reserve(channels.size());
     // Each statement holds its connection for 100 ms.
     for (auto &other : channels)
         sessions.push_back(*gateway->openSession("strict", other));
