--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -42,6 +42,8 @@
     EVENT(EndpointSurveyed, 1514, Info, "status of an endpoint in a replacement")                          \
     EVENT(PrimaryRecorded, 1515, Info, "primary of a service as the store records it")                     \
     EVENT(PromotionOrdered, 1516, Info, "promotion ordered from the platform")                             \
+    EVENT(PermissionLapsed, 1517, Warning, "permission to use primaries ran out")                          \
+    EVENT(PermissionRenewed, 1518, Info, "permission to use primaries is back")                            \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -211,12 +211,36 @@
 {
     registerSelf();
     tickConfirmation(now);
+    logPermission(now);
     chooseFeedsToWatch(now);
     tickPeers(now);
     tickConfiguration(now);
     removeLostMembers(now);
 }
 
+void FleetPeers::logPermission(TimePoint now)
+{
+    const auto expiry = permission_.expiresAt();
+    if (!expiry || (now < *expiry) == !permissionLapsed_)
+        return;
+    permissionLapsed_ = !permissionLapsed_;
+    if (!permissionLapsed_) {
+        logEvent(Event::PermissionRenewed, {{"records", context_.records().version().value()}});
+        return;
+    }
+    const auto answering = std::count_if(members_.begin(), members_.end(), [&](const auto &member) {
+        return answersLately(member.first, now);
+    });
+    const auto age = [&](const std::optional<TimePoint> &at) {
+        return at ? std::chrono::duration_cast<Milliseconds>(now - *at).count() : -1;
+    };
+    logEvent(Event::PermissionLapsed, {{"confirmed_ms_ago", age(permission_.confirmedAt())},
+                                       {"store_confirmed_ms_ago", age(storeConfirmedAt_)},
+                                       {"registered", registered_ ? 1 : 0},
+                                       {"members", members_.size()},
+                                       {"answering", answering}});
+}
+
 void FleetPeers::registerSelf()
 {
     const GroupFeed &records = context_.records();
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -103,6 +103,7 @@
     void chooseConfirmers();
     bool inLargeFleet() const;
     void chooseFeedsToWatch(TimePoint now);
+    void logPermission(TimePoint now);
     void registerSelf();
     void tickConfirmation(TimePoint now);
     void checkRecords(TimePoint now);
@@ -156,6 +157,7 @@
     std::map<ServiceName, PrimaryEvidence> evidence_;
     PrimaryPermission permission_;
     std::optional<TimePoint> sentPermission_;
+    bool permissionLapsed_ = false; ///< as the log says
     bool recordsReachable_ = true; ///< the last question about the records had an answer
     TimePoint promisedUntil_{};
     ResourceVersion obeyedRecords_;
