Share random delays, the end of a daemon's run and the limits of a pool

The delay of half to one and a half of a time was written again in FleetPeers beside four copies of it, the draw up to a bound stood in six places; both daemons' programs ended with the same lines and constants; a pool without a share needed a maximum with one in three places.

Ruled out: HttpServer on StreamServer and the older feed and store client on the newer ones: their time limits and bounds differ, so that behaviour would change.

Change: RandomSource::delayUpTo and delayAround, runToExit, and LinkPool::setLimit, which derives what it keeps, its share and what it may borrow. ConfigurationFeed::randomUpTo is gone. No change of behaviour.

--- a/src/base/random.h
+++ b/src/base/random.h
@@ -1,6 +1,8 @@
 #ifndef PISTACHIOWOOD_BASE_RANDOM_H
 #define PISTACHIOWOOD_BASE_RANDOM_H
 
+#include <pistachiowood/clock.h>
+
 #include <cstdint>
 #include <random>
 
@@ -15,6 +17,15 @@
 
     /// Returns a number in [0, bound); bound must not be 0.
     std::uint64_t below(std::uint64_t bound) { return next() % bound; }
+
+    /// Returns whole milliseconds in [0, bound].
+    Milliseconds delayUpTo(Milliseconds bound)
+    {
+        return Milliseconds(below(static_cast<std::uint64_t>(bound.count()) + 1));
+    }
+
+    /// Returns half of the time to one and a half of it, so that daemons do not act together.
+    Milliseconds delayAround(Milliseconds time) { return time / 2 + delayUpTo(time); }
 };
 
 /// Mersenne twister with an explicit seed.
--- a/src/configuration/change_tracker.cpp
+++ b/src/configuration/change_tracker.cpp
@@ -83,8 +83,7 @@
         std::min(options_.firstRetry * (1 << std::min(failures_, 10U)), options_.lastRetry);
     ++failures_;
     step_ = Step::WaitingToRead;
-    stepEnd_ = now + window / 2
-               + Milliseconds(random_.below(static_cast<std::uint64_t>(window.count()) + 1));
+    stepEnd_ = now + random_.delayAround(window);
     stepEnd_ = std::min(stepEnd_, deadline_);
     return {ScheduleChange{stepEnd_}};
 }
--- a/src/configuration/configuration_feed.cpp
+++ b/src/configuration/configuration_feed.cpp
@@ -14,11 +14,6 @@
 {
 }
 
-Milliseconds ConfigurationFeed::randomUpTo(Milliseconds bound)
-{
-    return Milliseconds(random_.below(static_cast<std::uint64_t>(bound.count()) + 1));
-}
-
 void ConfigurationFeed::setMemberCount(std::size_t members)
 {
     members_ = std::max<std::size_t>(members, 1);
@@ -96,7 +91,7 @@
     const Milliseconds last = std::max(options_.maximumRetry, first);
     const Milliseconds window = std::min(first * (1 << (failures_ - 1)), last);
     // The store is complete as of its version, so only an empty one needs a list.
-    return wait(now + window / 2 + randomUpTo(window),
+    return wait(now + random_.delayAround(window),
                 store_.version().value() == 0 ? Action::List : Action::Watch);
 }
 
@@ -125,7 +120,7 @@
         noteAnswer();
         relistFromPeer_ = true;
         return wait(
-            now + randomUpTo(static_cast<std::int64_t>(members_) * options_.relistPerMember),
+            now + random_.delayUpTo(static_cast<std::int64_t>(members_) * options_.relistPerMember),
             Action::List);
     }
     const auto &answer = std::get<WatchAnswer>(outcome);
@@ -160,7 +155,7 @@
             logEvent(Event::ConfigurationFromPeer, {{"version", store_.version().value()}});
     }
     if (needsPeer())
-        peerAt_ = now + options_.peerDelay / 2 + randomUpTo(options_.peerDelay);
+        peerAt_ = now + random_.delayAround(options_.peerDelay);
     if (outstanding_ == 0 && relistFromPeer_) {
         relistFromPeer_ = false;
         return store_.version() > before ? watch(now) : list(now);
@@ -182,7 +177,7 @@
     peerGoal_ = version;
     // While the platform answers, its watch usually brings the change within this time.
     const Milliseconds grace = platformAnswers() ? options_.peerDelay : Milliseconds(0);
-    peerAt_ = now + grace + options_.peerDelay / 2 + randomUpTo(options_.peerDelay);
+    peerAt_ = now + grace + random_.delayAround(options_.peerDelay);
     return withSchedule({});
 }
 
--- a/src/configuration/configuration_feed.h
+++ b/src/configuration/configuration_feed.h
@@ -109,7 +109,6 @@
     FeedCommands withSchedule(FeedCommands commands) const;
     void noteAnswer();
     bool needsPeer() const;
-    Milliseconds randomUpTo(Milliseconds bound);
 
     ConfigurationStore &store_;
     RandomSource &random_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -152,7 +152,7 @@
                 });
         }
         pool->setEndpoint(endpoint);
-        pool->setLimit(share, std::max<std::size_t>(share, 1) * borrowFactor);
+        pool->setLimit(share, borrowFactor);
     }
     for (auto entry = traffic.pools.begin(); entry != traffic.pools.end();) {
         if (present.count(entry->first) > 0) {
--- a/src/gateway/link_pool.cpp
+++ b/src/gateway/link_pool.cpp
@@ -150,15 +150,16 @@
     }
 }
 
-void LinkPool::setLimit(std::size_t share, std::size_t most)
+void LinkPool::setLimit(std::size_t share, std::size_t borrowFactor)
 {
-    share_ = share;
-    most_ = std::max(share, most);
+    kept_ = share;
+    share_ = std::max<std::size_t>(share, 1);
+    most_ = share_ * borrowFactor;
 }
 
 std::size_t LinkPool::limit() const
 {
-    return clock_.now() < borrowBlockedUntil_ ? std::max<std::size_t>(share_, 1) : most_;
+    return clock_.now() < borrowBlockedUntil_ ? share_ : most_;
 }
 
 void LinkPool::grant(PooledLink &link, LinkUser &user)
@@ -298,7 +299,7 @@
     for (const auto &[id, link] : links_) {
         if (link->state_ == PooledLink::State::Opening && now - link->lastSend_ > handshakeLimit)
             stuck.push_back(link.get());
-        const bool borrowed = links_.size() - idle.size() > share_;
+        const bool borrowed = links_.size() - idle.size() > kept_;
         if (link->state_ == PooledLink::State::Idle
             && now - link->idleSince_ > (borrowed ? borrowedIdleLifetime : idleLifetime))
             idle.push_back(id);
@@ -373,7 +374,7 @@
         }));
     health.open = links_.size();
     health.waiting = waiters_.size();
-    health.limit = std::max<std::size_t>(share_, 1);
+    health.limit = share_;
     return health;
 }
 
--- a/src/gateway/link_pool.h
+++ b/src/gateway/link_pool.h
@@ -91,9 +91,9 @@
     void setEndpoint(const EndpointView &endpoint) { endpoint_ = endpoint; }
     const EndpointView &endpoint() const { return endpoint_; }
     const ServiceName &service() const { return service_; }
-    /// Connections that this daemon may keep, and how many it may open while others leave theirs
-    /// unused.
-    void setLimit(std::size_t share, std::size_t most);
+    /// Connections that this daemon may keep while they are idle, and the multiple of that, or of
+    /// one, that it may open while others leave theirs unused.
+    void setLimit(std::size_t share, std::size_t borrowFactor);
 
     /// Grants a connection, at once or later, or refuses it. The ticket ends with either.
     Ticket acquire(LinkUser &user, const SessionVariables &variables, unsigned priority,
@@ -146,6 +146,7 @@
     ServiceName service_;
     EndpointView endpoint_;
     PositionHandler positions_;
+    std::size_t kept_ = 1; ///< none when daemons outnumber the connections
     std::size_t share_ = 1;
     std::size_t most_ = 1;
     TimePoint borrowBlockedUntil_{};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -55,9 +55,7 @@
     : self_(std::move(self))
     , random_(random)
     , options_(options)
-    , nextPeriod_(
-          now
-          + Milliseconds(random.below(static_cast<std::uint64_t>(options.period.count()) / 2 + 1)))
+    , nextPeriod_(now + random.delayUpTo(options.period / 2))
     , lastTick_(now)
 {
 }
--- a/src/primary/primary_controller.cpp
+++ b/src/primary/primary_controller.cpp
@@ -459,8 +459,7 @@
         // A random share of the delay keeps two daemons from outbidding each other's terms forever.
         const auto half = backoff_ / 2;
         const Milliseconds delay =
-            half + Milliseconds(random_.below(static_cast<std::uint64_t>(half.count()) + 1))
-            + rank_.value_or(0) * settings_.backoffBase;
+            half + random_.delayUpTo(half) + rank_.value_or(0) * settings_.backoffBase;
         nextAttempt_ = clock_.now() + delay;
         backoff_ = std::min(backoff_ * 2, settings_.backoffCap);
         logEvent(Event::PromotionStepFailed, {{"service", service_.value()},
--- a/src/writes/retry_policy.cpp
+++ b/src/writes/retry_policy.cpp
@@ -98,8 +98,7 @@
 {
     const std::int64_t factor = std::int64_t{1} << std::min(retry, maxBackoffDoublings);
     const Milliseconds bound = std::min(limits.firstBackoff * factor, limits.backoffCap);
-    return Milliseconds(
-        static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(bound.count()) + 1)));
+    return random.delayUpTo(bound);
 }
 
 RetryDecision decideRetry(const FailedAttempt &attempt, Milliseconds backoff, bool budgetAvailable)
--- a/tools/pistachiowoodd/main.cpp
+++ b/tools/pistachiowoodd/main.cpp
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "daemon/run_to_exit.h"
 #include "daemon/signals.h"
 
 #include <iostream>
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr int exitUsage = 2;
-constexpr int exitFailure = 1;
-
 int runDaemon(DaemonSettings settings)
 {
     initializeLogging(settings.logLevel);
@@ -21,12 +19,7 @@
         daemon.shutdown();
         return false;
     });
-    const auto outcome = capture([&] { return daemon.run(); });
-    if (const auto *error = std::get_if<Error>(&outcome)) {
-        logEvent(Event::ListenFailed, {{"reason", error->message}});
-        return exitFailure;
-    }
-    return 0;
+    return runToExit([&] { return daemon.run(); });
 }
 
 } // namespace
