Keep the members of a fleet apart from the exchanges with them

Each answer to a peer with an older configuration first copied the whole of it only to measure it; each report that arrived was stored with its copies, which were dropped at once; the age of a confirmation and the version of a record were worked out in three places each.

Ruled out: one more file of the same class, which would keep the state in one place and hide it.

Change: FleetMembers holds members, their ages, confirmers, ranks and the counts for a replacement, free of I/O, with tests of its own. Copies are measured before they are made and belong to FleetContext; a peer's facts are a type without copies; GroupFeed::versionOf, PrimaryPermission::olderThan and describePrimary serve all callers. Tests share the outage of the store; the exploration names its calls. No assertion and no behaviour changed.

--- a/src/takeover/fleet_context.h
+++ b/src/takeover/fleet_context.h
@@ -71,6 +71,9 @@
 
     GroupFeed &feed(ObjectGroup group) const { return *feeds.at(static_cast<std::size_t>(group)); }
     GroupFeed &records() const { return feed(ObjectGroup::Records); }
+    /// What a peer lacks of the groups. A large configuration only if the peer wants it.
+    std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
+    void takeCopies(const std::vector<GroupCopy> &copies) const;
     /// Changes a record; the copy holds the change before the callback runs, which is dropped once
     /// the control has ended.
     void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -147,7 +147,7 @@
             break;
         }
     }
-    peers_.setMembers(std::move(members), std::move(removed), registered);
+    peers_.setMembers(members, removed, registered);
     scheduleView();
 }
 
@@ -186,7 +186,7 @@
     view->configurationVersion = context_.configuration->version;
     view->recordsVersion = context_.records().version().value();
     view->transactionIdle = context_.configuration->transactionIdle;
-    view->daemons = static_cast<unsigned>(peers_.memberCount() + 1);
+    view->daemons = static_cast<unsigned>(peers_.members().otherCount() + 1);
     for (const DatabaseRoute &route : context_.configuration->routes)
         view->routes.emplace(route.database, route);
     for (const ServiceLimits &limits : context_.configuration->services) {
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -123,6 +123,16 @@
             loop.post([callback, item] { callback(GroupChanges{item.version, {{item, false}}}); });
     }
 
+    // Waiting watches end at once.
+    void goDown()
+    {
+        down = true;
+        for (auto &watch : watches) {
+            if (auto callback = std::exchange(watch, nullptr))
+                callback(StoreFailure::Refused);
+        }
+    }
+
     EventLoop &loop;
     ResourceVersion version{10};
     std::array<std::map<std::string, StoredItem>, objectGroupCount> groups;
@@ -337,11 +347,7 @@
 {
     start(true);
     settle(300ms);
-    store.down = true;
-    for (auto &watch : store.watches) {
-        if (auto callback = std::exchange(watch, nullptr))
-            callback(StoreFailure::Refused);
-    }
+    store.goDown();
     settle(500ms);
     store.down = false;
     settle(1500ms);
@@ -536,11 +542,7 @@
     start(false);
     settle(1500ms);
     around.peerConfirms = false; // the confirmers answer without news
-    store.down = true;
-    for (auto &watch : store.watches) {
-        if (auto callback = std::exchange(watch, nullptr))
-            callback(StoreFailure::Refused);
-    }
+    store.goDown();
     const unsigned checksBefore = store.checkCalls;
     const unsigned watchesBefore = watchCalls(ObjectGroup::Configuration);
     settle(4000ms);
--- /dev/null
+++ b/src/takeover/fleet_members_test.cpp
@@ -0,0 +1,104 @@
+#include "takeover/fleet_members.h"
+#include "takeover/primary_permission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiowood;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FleetMembers)
+{
+    FleetSettings settings{.vm = VmId("self"), .zone = ZoneName("z"), .region = RegionName("r")};
+    FleetMembers members{settings};
+    std::map<VmId, DaemonRecord> present;
+    std::map<VmId, DaemonRecord> removed;
+    TimePoint now{std::chrono::hours(1)};
+
+    void add(const std::string &name, const std::string &zone = "z")
+    {
+        const VmId vm(name);
+        present[vm] = {vm, RegionName("r"), ZoneName(zone), {"127.0.0.1", 9}};
+    }
+
+    void update()
+    {
+        members.update(present, removed, true, now);
+    }
+
+    // The members as they are have been known for as long as a permission can last.
+    void grow()
+    {
+        update();
+        now += PrimaryPermission::longestLifetime;
+    }
+
+    bool half(const std::set<std::string> &meeting)
+    {
+        return members.halfMeet(
+            true, [&](const VmId &vm) { return meeting.count(vm.value()) > 0; }, now);
+    }
+};
+
+// Guards against a replacement while more than half of the daemons can promise each other the
+// primary.
+TEST(FleetMembers, halfCountsRemovedDaemons)
+{
+    for (const auto *name : {"a", "b", "c"})
+        add(name);
+    grow();
+    CHECK_FALSE(half({}));
+    CHECK_TRUE(half({"a"}));
+    removed[VmId("c")] = present[VmId("c")];
+    present.erase(VmId("c"));
+    update();
+    CHECK_TRUE(half({"a"}));
+    CHECK_FALSE(half({}));
+    CHECK_FALSE(members.allMeet([](const VmId &) { return true; }));
+}
+
+// Guards against a half made of daemons that those on the other side do not know yet.
+TEST(FleetMembers, halfLeavesNewDaemonsOut)
+{
+    for (const auto *name : {"a", "b", "c"})
+        add(name);
+    grow();
+    add("new");
+    update();
+    CHECK_FALSE(half({"new"}));
+    CHECK_FALSE(half({"a", "new"}));
+    now += PrimaryPermission::longestLifetime;
+    CHECK_TRUE(half({"a", "new"}));
+}
+
+// Guards against a daemon that counts members whose history it cannot know.
+TEST(FleetMembers, newDaemonCountsNoHalf)
+{
+    add("a");
+    update();
+    CHECK_FALSE(half({"a"}));
+    CHECK_TRUE(members.allMeet([](const VmId &) { return true; }));
+}
+
+// Guards against records of lost daemons that are deleted while a permission may be in force.
+TEST(FleetMembers, removedDaemonExpiresOnceAfterTheLongestPermission)
+{
+    removed[VmId("gone")] = {VmId("gone"), RegionName("r"), ZoneName("z"), {"127.0.0.1", 9}, true};
+    update();
+    CHECK_TRUE(members.takeExpired(now + PrimaryPermission::longestLifetime - 1ms).empty());
+    LONGS_EQUAL(1, members.takeExpired(now + PrimaryPermission::longestLifetime).size());
+    CHECK_TRUE(members.takeExpired(now + PrimaryPermission::longestLifetime).empty());
+}
+
+// Guards against confirmers that all stand in one zone, so that most questions cross zones.
+TEST(FleetMembers, confirmersStandInDifferentZones)
+{
+    for (int i = 0; i < 30; ++i)
+        add("vm-" + std::to_string(i), i % 2 == 0 ? "z" : "y");
+    update();
+    LONGS_EQUAL(2, members.confirmers().size());
+    const auto zoneOf = [&](const VmId &vm) {
+        return vm == settings.vm ? settings.zone : present.at(vm).zone;
+    };
+    CHECK_FALSE(zoneOf(members.confirmers().at(0)) == zoneOf(members.confirmers().at(1)));
+    CHECK_TRUE(zoneOf(members.confirmers().at(members.nearestConfirmer())) == settings.zone);
+}
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -2,10 +2,7 @@
 
 #include "base/log.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace pistachiowood {
@@ -17,7 +14,6 @@
 constexpr Milliseconds checkPeriod{500};
 constexpr Milliseconds objectsCheckInterval{1500}; // a change must be in force within 3 s
 constexpr Milliseconds confirmerInterval{500};
-constexpr std::size_t daemonsPerConfirmer = 16; // keeps a confirmer's load at 32 questions a second
 constexpr unsigned confirmerMisses = 2; // after which a daemon asks the store itself
 constexpr Milliseconds selfConfirmation{5000}; // for how long it does so
 constexpr Milliseconds recentConfirmation{1700}; // older ones count as a miss
@@ -26,7 +22,6 @@
 // A daemon with a newer confirmation passes that on instead of a promise, which keeps it from
 // replacing primaries. Confirmations are at most 1.6 s old while the store answers.
 constexpr Milliseconds promiseAge{1900};
-constexpr std::size_t smallFleet = 12; // members up to which every daemon asks all others
 // The members register within the first second; a watch of theirs would be answered for each.
 constexpr Milliseconds watchDelay{1000};
 // Between checks that fail: an outage is noticed by the peers, and every call to it is priced.
@@ -36,9 +31,6 @@
 constexpr Milliseconds ownQuestionCost{100};
 // Longest wait of one daemon before it repeats a failed call, for each member.
 constexpr Milliseconds retryCost{100};
-// Configurations up to this size go with every answer; larger ones to daemons that ask for them.
-constexpr std::size_t smallConfiguration =
-    16384; // bytes; 600 ms of the slowest link carry 45 of them
 // Time for the store's watch to bring a large configuration before a peer is asked for it; it must
 // be in force within 5 s.
 constexpr Milliseconds configurationPatience{1000};
@@ -69,93 +61,20 @@
 FleetPeers::FleetPeers(FleetContext &context, Hooks hooks)
     : context_(context)
     , hooks_(std::move(hooks))
+    , members_(context.settings)
 {
 }
 
-void FleetPeers::setMembers(std::map<VmId, DaemonRecord> members,
-                            std::map<VmId, DaemonRecord> removed, bool registered)
+void FleetPeers::setMembers(const std::map<VmId, DaemonRecord> &present,
+                            const std::map<VmId, DaemonRecord> &removed, bool registered)
 {
     const TimePoint now = context_.clock.now();
-    if (!membersKnownSince_)
-        membersKnownSince_ = now;
-    registered_ = registered;
-    if (!registered)
-        registeredSince_.reset();
-    else if (!registeredSince_)
-        registeredSince_ = now;
-    members_ = std::move(members);
-    removed_ = std::move(removed);
-    ranks_.clear();
-    for (const auto &[vm, member] : members_) {
+    members_.update(present, removed, registered, now);
+    for (const auto &[vm, member] : members_.others())
         peerStates_.try_emplace(vm, PeerState{.receivedAt = now});
-        memberSince_.try_emplace(vm, now);
-    }
-    for (const auto &[vm, member] : removed_)
-        removedSince_.try_emplace(vm, now);
-    std::erase_if(peerStates_, [&](const auto &entry) { return members_.count(entry.first) == 0; });
-    std::erase_if(memberSince_,
-                  [&](const auto &entry) { return members_.count(entry.first) == 0; });
-    std::erase_if(removedSince_,
-                  [&](const auto &entry) { return removed_.count(entry.first) == 0; });
-    chooseConfirmers();
-}
-
-// Every daemon computes the same confirmers from the member records. Those of a region stand in as
-// many zones as possible: most questions then stay within a zone.
-void FleetPeers::chooseConfirmers()
-{
-    struct Place
-    {
-        std::size_t ordinal = 0; ///< among the daemons of the zone, by weight
-        std::uint64_t weight = 0;
-        const VmId *vm = nullptr;
-        const ZoneName *zone = nullptr;
-    };
-    const FleetSettings &settings = context_.settings;
-    std::map<RegionName, std::vector<Place>> regions;
-    const auto add = [&](const VmId &vm, const RegionName &region, const ZoneName &zone) {
-        const auto weight = XXH64(vm.value().data(), vm.value().size(), 0);
-        regions[region].push_back({0, weight, &vm, &zone});
-    };
-    add(settings.vm, settings.region, settings.zone);
-    for (const auto &[vm, member] : members_)
-        add(vm, member.region, member.zone);
-    fleetConfirmers_.clear();
-    for (auto &[region, places] : regions) {
-        std::sort(places.begin(), places.end(),
-                  [](const Place &left, const Place &right) { return left.weight < right.weight; });
-        std::map<ZoneName, std::size_t> counts;
-        for (Place &place : places)
-            place.ordinal = counts[*place.zone]++;
-        std::stable_sort(places.begin(), places.end(), [](const Place &left, const Place &right) {
-            return left.ordinal < right.ordinal;
-        });
-        const std::size_t count = (places.size() + daemonsPerConfirmer - 1) / daemonsPerConfirmer;
-        for (std::size_t i = 0; i < count; ++i)
-            fleetConfirmers_.insert(*places[i].vm);
-        if (region != settings.region)
-            continue;
-        regionMembers_.clear();
-        for (const Place &place : places)
-            regionMembers_.push_back(*place.vm);
-        confirmation_.confirmers.assign(
-            regionMembers_.begin(), regionMembers_.begin() + static_cast<std::ptrdiff_t>(count));
-        const auto own = static_cast<std::size_t>(
-            std::find(regionMembers_.begin(), regionMembers_.end(), settings.vm)
-            - regionMembers_.begin());
-        confirmation_.self = own < count;
-        confirmation_.next = own % count;
-        for (std::size_t i = 0; i < count; ++i) {
-            if (*places[i].zone == settings.zone)
-                confirmation_.next = i;
-        }
-    }
-    context_.traffic.setProbing(confirmation_.self);
-}
-
-bool FleetPeers::inLargeFleet() const
-{
-    return members_.size() > smallFleet;
+    std::erase_if(peerStates_, [&](const auto &entry) { return !members_.contains(entry.first); });
+    confirmation_.next = members_.nearestConfirmer();
+    context_.traffic.setProbing(members_.confirms());
 }
 
 // In a large fleet an event would be a call of every daemon, and the members alone make as many
@@ -164,25 +83,30 @@
 {
     if (!startedAt_)
         startedAt_ = now;
-    const bool active = confirmation_.self || now < confirmation_.selfUntil;
+    const bool active = members_.confirms() || now < confirmation_.selfUntil;
     const bool watching =
-        (!inLargeFleet() || active || !hooks_.mayPromise(now)) && now - *startedAt_ >= watchDelay;
-    if (inLargeFleet() && !active)
-        context_.feed(ObjectGroup::Configuration).setRetryLimit(retryCost * members_.size());
+        (!members_.large() || active || !hooks_.mayPromise(now)) && now - *startedAt_ >= watchDelay;
+    if (members_.large() && !active)
+        context_.feed(ObjectGroup::Configuration).setRetryLimit(retryCost * members_.otherCount());
     context_.feed(ObjectGroup::Endpoints).setWatching(watching);
     context_.records().setWatching(watching);
 }
 
 void FleetPeers::confirmByStore(TimePoint at)
 {
-    storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
+    noteStoreConfirmation(at);
     confirmRecords(at);
 }
 
+void FleetPeers::noteStoreConfirmation(TimePoint at)
+{
+    storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
+}
+
 void FleetPeers::confirmRecords(TimePoint at)
 {
     // A daemon that is not a member is not waited for when a primary is replaced.
-    if (!registered_)
+    if (!members_.registered())
         return;
     permission_.confirm(at);
     // A view with the newest records must reach the traffic thread before the permission does.
@@ -228,16 +152,16 @@
         logEvent(Event::PermissionRenewed, {{"records", context_.records().version().value()}});
         return;
     }
-    const auto answering = std::count_if(members_.begin(), members_.end(), [&](const auto &member) {
-        return answersLately(member.first, now);
-    });
+    const auto answering =
+        std::count_if(members_.others().begin(), members_.others().end(),
+                      [&](const auto &member) { return answersLately(member.first, now); });
     const auto age = [&](const std::optional<TimePoint> &at) {
         return at ? std::chrono::duration_cast<Milliseconds>(now - *at).count() : -1;
     };
     logEvent(Event::PermissionLapsed, {{"confirmed_ms_ago", age(permission_.confirmedAt())},
                                        {"store_confirmed_ms_ago", age(storeConfirmedAt_)},
-                                       {"registered", registered_ ? 1 : 0},
-                                       {"members", members_.size()},
+                                       {"registered", members_.registered() ? 1 : 0},
+                                       {"members", members_.otherCount()},
                                        {"answering", answering}});
 }
 
@@ -245,28 +169,25 @@
 {
     const GroupFeed &records = context_.records();
     const TimePoint now = context_.clock.now();
-    if (registered_ || registering_ || !records.loaded() || records.failing()
+    if (members_.registered() || registering_ || !records.loaded() || records.failing()
         || now < nextRegistration_)
         return;
     registering_ = true;
-    nextRegistration_ = now + jittered(registrationRetry);
+    nextRegistration_ = now + context_.random.delayAround(registrationRetry);
     const std::string name = daemonRecordName(context_.settings.vm);
-    const auto known = records.items().find(name);
-    std::optional<ResourceVersion> expected;
-    if (known != records.items().end())
-        expected = known->second.version;
     registeredAt_ = now;
     const std::string text =
         encodeDaemonRecord({context_.settings.vm, context_.settings.region, context_.settings.zone,
                             context_.settings.peerAddress});
-    context_.putRecord(name, expected, text, [this](const auto &) { registering_ = false; });
+    context_.putRecord(name, records.versionOf(name), text,
+                       [this](const auto &) { registering_ = false; });
 }
 
 void FleetPeers::tickConfirmation(TimePoint now)
 {
     if (!context_.records().loaded())
         return;
-    if (confirmation_.self || now < confirmation_.selfUntil)
+    if (members_.confirms() || now < confirmation_.selfUntil)
         checkRecords(now);
     else if (now - confirmation_.lastAsked >= confirmerInterval)
         askConfirmer(now);
@@ -300,8 +221,7 @@
 void FleetPeers::askConfirmer(TimePoint now)
 {
     confirmation_.lastAsked = now;
-    const auto &confirmed = permission_.confirmedAt();
-    if (!confirmed || now - *confirmed > recentConfirmation) {
+    if (permission_.olderThan(recentConfirmation, now)) {
         ++confirmation_.next;
         if (++confirmation_.misses >= confirmerMisses) {
             confirmation_.misses = 0;
@@ -310,10 +230,8 @@
     } else {
         confirmation_.misses = 0;
     }
-    const VmId &vm =
-        confirmation_.confirmers.at(confirmation_.next % confirmation_.confirmers.size());
-    if (const auto member = members_.find(vm); member != members_.end())
-        exchangeWith(vm, member->second.address, false, nullptr);
+    const VmId &vm = members_.confirmers().at(confirmation_.next % members_.confirmers().size());
+    exchangeWithMember(vm);
 }
 
 // The confirmers miss the store, or they miss this daemon. In a large fleet a few questions of all
@@ -321,12 +239,13 @@
 void FleetPeers::askStore(TimePoint now)
 {
     const bool confirmersAnswer =
-        std::any_of(confirmation_.confirmers.begin(), confirmation_.confirmers.end(),
+        std::any_of(members_.confirmers().begin(), members_.confirmers().end(),
                     [&](const VmId &vm) { return answersLately(vm, now); });
-    if (inLargeFleet() && confirmersAnswer) {
+    if (members_.large() && confirmersAnswer) {
         if (now < nextOwnQuestion_)
             return;
-        nextOwnQuestion_ = now + jittered(ownQuestionCost * members_.size());
+        nextOwnQuestion_ =
+            now + context_.random.delayAround(ownQuestionCost * members_.otherCount());
     } else {
         confirmation_.selfUntil = now + selfConfirmation;
     }
@@ -340,17 +259,10 @@
            && now - state->second.receivedAt <= reportLifetime;
 }
 
-// Half of the time to one and a half of it.
-Milliseconds FleetPeers::jittered(Milliseconds time)
-{
-    return time / 2
-           + Milliseconds(context_.random.below(static_cast<std::uint64_t>(time.count()) + 1));
-}
-
 // The first confirmer of the region that answers the others.
 const VmId &FleetPeers::collector() const
 {
-    for (const VmId &vm : confirmation_.confirmers) {
+    for (const VmId &vm : members_.confirmers()) {
         const auto state = peerStates_.find(vm);
         if (vm == context_.settings.vm
             || (state != peerStates_.end() && state->second.failures < collectorFailures))
@@ -362,11 +274,10 @@
 void FleetPeers::tickPeers(TimePoint now)
 {
     const GroupFeed &records = context_.records();
-    const auto confirmed = permission_.confirmedAt();
-    const bool old = !confirmed || now - *confirmed > confirmationAgeLimit;
+    const bool old = permission_.olderThan(confirmationAgeLimit, now);
     if (recordsReachable_ && !records.failing() && !(old && records.loaded()))
         return;
-    const bool small = !inLargeFleet();
+    const bool small = !members_.large();
     const bool collects = small || collector() == context_.settings.vm;
     // A permission of the collector that was just renewed must be passed on before others run out.
     const Milliseconds interval = small              ? exchangeInterval
@@ -389,7 +300,7 @@
     const ResourceVersion own = context_.feed(ObjectGroup::Configuration).contentVersion();
     std::vector<VmId> holders;
     for (const auto &[vm, state] : peerStates_) {
-        if (members_.count(vm) > 0 && state.failures == 0 && state.report
+        if (members_.contains(vm) && state.failures == 0 && state.report
             && state.report->versions.at(configurationIndex) > own)
             holders.push_back(vm);
     }
@@ -403,17 +314,18 @@
         || now < nextConfigurationFetch_)
         return;
     fetchingConfiguration_ = true;
-    nextConfigurationFetch_ = now + jittered(configurationRetry);
+    nextConfigurationFetch_ = now + context_.random.delayAround(configurationRetry);
     const VmId &holder = holders.at(context_.random.below(holders.size()));
     PeerReport report = makeReport();
     report.wantsConfiguration = true;
-    context_.peers.exchange(members_.at(holder).address, report, configurationTimeout,
+    context_.peers.exchange(members_.others().at(holder).record.address, report,
+                            configurationTimeout,
                             [this, alive = context_.alive](const auto &outcome) {
                                 if (!*alive)
                                     return;
                                 fetchingConfiguration_ = false;
                                 if (const auto *answer = std::get_if<PeerReport>(&outcome))
-                                    takeCopies(*answer);
+                                    context_.takeCopies(answer->copies);
                             });
 }
 
@@ -422,60 +334,47 @@
 void FleetPeers::removeLostMembers(TimePoint now)
 {
     const GroupFeed &records = context_.records();
-    const auto watchers = std::min(regionMembers_.size(), lossWatchers);
-    const bool watching = std::find(regionMembers_.begin(),
-                                    regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers),
-                                    context_.settings.vm)
-                          != regionMembers_.begin() + static_cast<std::ptrdiff_t>(watchers);
     const bool storeSettled = !records.failing() && recordsReachable_ && records.healthySince()
                               && now - *records.healthySince() > lossLimit;
-    if (!watching || !storeSettled || now - lastLossCheck_ < lossCheckInterval)
+    if (!members_.amongFirst(lossWatchers) || !storeSettled
+        || now - lastLossCheck_ < lossCheckInterval)
         return;
     lastLossCheck_ = now;
     deleteRemoved(now);
-    for (const VmId &vm : regionMembers_) {
+    for (const VmId &vm : members_.region()) {
         const auto state = peerStates_.find(vm);
-        const auto member = members_.find(vm);
-        if (state == peerStates_.end() || member == members_.end()
+        if (state == peerStates_.end() || !members_.contains(vm)
             || now - state->second.receivedAt < lossLimit)
             continue;
         if (state->second.failures >= lossFailures)
             removeMember(vm);
         else
-            exchangeWith(vm, member->second.address, false, nullptr);
+            exchangeWithMember(vm);
     }
 }
 
 void FleetPeers::removeMember(const VmId &vm)
 {
-    if (std::exchange(peerStates_[vm].removing, true))
+    const std::string name = daemonRecordName(vm);
+    const auto version = context_.records().versionOf(name);
+    if (!version || std::exchange(peerStates_[vm].removing, true))
         return;
     logEvent(Event::MemberDead, {{"vm", vm.value()}});
-    DaemonRecord record = members_.at(vm);
+    DaemonRecord record = members_.others().at(vm).record;
     record.removed = true;
-    const std::string name = daemonRecordName(vm);
-    const auto known = context_.records().items().find(name);
-    if (known == context_.records().items().end())
-        return;
-    context_.putRecord(name, known->second.version, encodeDaemonRecord(record),
-                       [this, vm](const auto &) {
-                           // The records show whether it was taken out.
-                           if (const auto state = peerStates_.find(vm); state != peerStates_.end())
-                               state->second.removing = false;
-                       });
+    context_.putRecord(name, version, encodeDaemonRecord(record), [this, vm](const auto &) {
+        // The records show whether it was taken out.
+        if (const auto state = peerStates_.find(vm); state != peerStates_.end())
+            state->second.removing = false;
+    });
 }
 
 void FleetPeers::deleteRemoved(TimePoint now)
 {
-    for (auto &[vm, since] : removedSince_) {
-        if (now - since < PrimaryPermission::longestLifetime)
-            continue;
-        since = now; // tries again much later, should the call fail
+    for (const VmId &vm : members_.takeExpired(now)) {
         const std::string name = daemonRecordName(vm);
-        const auto known = context_.records().items().find(name);
-        if (known != context_.records().items().end())
-            context_.store.deleteRecord(name, known->second.version, recordTimeout,
-                                        [](const auto &) {});
+        if (const auto version = context_.records().versionOf(name))
+            context_.store.deleteRecord(name, *version, recordTimeout, [](const auto &) {});
     }
 }
 
@@ -486,11 +385,11 @@
     if (wantPromise) {
         round = std::make_shared<PromiseRound>();
         round->startedAt = lastExchange_;
-        round->asked = members_.size();
+        round->asked = members_.otherCount();
     }
-    for (const auto &[vm, member] : members_)
-        exchangeWith(vm, member.address, wantPromise, round);
-    if (!members_.empty())
+    for (const auto &[vm, member] : members_.others())
+        exchangeWith(vm, member.record.address, wantPromise, round);
+    if (!members_.others().empty())
         return;
     for (const SocketAddress &seed : context_.settings.seeds) {
         if (seed != context_.settings.peerAddress)
@@ -503,13 +402,17 @@
 void FleetPeers::exchangeWithSome()
 {
     lastExchange_ = context_.clock.now();
-    const VmId &confirmer = collector();
-    const auto chosen = members_.find(confirmer);
-    if (chosen != members_.end())
-        exchangeWith(confirmer, chosen->second.address, false, nullptr);
-    auto other = members_.begin();
-    std::advance(other, static_cast<std::ptrdiff_t>(context_.random.below(members_.size())));
-    exchangeWith(other->first, other->second.address, false, nullptr);
+    exchangeWithMember(collector());
+    auto other = members_.others().begin();
+    std::advance(other, static_cast<std::ptrdiff_t>(context_.random.below(members_.otherCount())));
+    exchangeWithMember(other->first);
+}
+
+void FleetPeers::exchangeWithMember(const VmId &vm)
+{
+    const auto &others = members_.others();
+    if (const auto member = others.find(vm); member != others.end())
+        exchangeWith(vm, member->second.record.address, false, nullptr);
 }
 
 void FleetPeers::exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
@@ -580,54 +483,17 @@
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
     if (storeConfirmedAt_)
         report.storeConfirmedAge = std::chrono::ceil<Milliseconds>(now - *storeConfirmedAt_);
-    for (const auto &[service, evidence] : evidence_) {
-        PrimaryReport primary{.service = service,
-                              .endpoint = evidence.endpoint,
-                              .primaryEpoch = evidence.primaryEpoch};
-        if (const auto &sample = evidence.newestPosition) {
-            primary.position = sample->position;
-            primary.positionAge = std::chrono::ceil<Milliseconds>(now - sample->askedAt);
-        }
-        if (evidence.lastReply)
-            primary.replyAge = std::chrono::duration_cast<Milliseconds>(now - *evidence.lastReply);
-        if (evidence.failingSince)
-            primary.failingAge =
-                std::chrono::duration_cast<Milliseconds>(now - *evidence.failingSince);
-        report.primaries.push_back(std::move(primary));
-    }
+    for (const auto &[service, evidence] : evidence_)
+        report.primaries.push_back(describePrimary(evidence, now));
     return report;
 }
 
-std::vector<GroupCopy> FleetPeers::copiesFor(const PeerReport &peer) const
-{
-    std::vector<GroupCopy> copies;
-    for (std::size_t i = 0; i < objectGroupCount; ++i) {
-        const auto &feed = *context_.feeds.at(i);
-        if (!feed.loaded() || feed.contentVersion() <= peer.versions.at(i))
-            continue;
-        GroupCopy copy = feed.copyFor(peer.versions.at(i));
-        const auto size = std::accumulate(
-            copy.items.begin(), copy.items.end(), std::size_t{0},
-            [](std::size_t sum, const StoredItem &item) { return sum + item.text.size(); });
-        if (i != configurationIndex || peer.wantsConfiguration || size <= smallConfiguration)
-            copies.push_back(std::move(copy));
-    }
-    return copies;
-}
-
-void FleetPeers::takeCopies(const PeerReport &report)
-{
-    for (const GroupCopy &copy : report.copies)
-        context_.feed(copy.group).takeCopy(copy);
-}
-
 void FleetPeers::takeReport(const PeerReport &report, TimePoint sentAt, bool answer)
 {
-    takeCopies(report);
-    if (report.vm != context_.settings.vm && members_.count(report.vm) > 0) {
+    context_.takeCopies(report.copies);
+    if (report.vm != context_.settings.vm && members_.contains(report.vm)) {
         PeerState &state = peerStates_[report.vm];
-        state.report = report;
-        state.report->copies.clear();
+        state.report = report; // without the copies
         state.receivedAt = context_.clock.now();
     }
     for (const PrimaryReport &primary : report.primaries) {
@@ -639,10 +505,8 @@
     // The sender's confirmation covers this daemon only if its records are as new.
     if (!answer || context_.records().contentVersion() < report.versions.at(recordsIndex))
         return;
-    if (report.storeConfirmedAge) {
-        const TimePoint at = sentAt - *report.storeConfirmedAge;
-        storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
-    }
+    if (report.storeConfirmedAge)
+        noteStoreConfirmation(sentAt - *report.storeConfirmedAge);
     if (report.confirmedAge)
         confirmRecords(sentAt - *report.confirmedAge);
 }
@@ -650,9 +514,7 @@
 // Asked by a peer that has no newer confirmation, or before promising to itself.
 bool FleetPeers::mayPromise(TimePoint now) const
 {
-    const auto confirmed = permission_.confirmedAt();
-    const bool old = !confirmed || now - *confirmed > promiseAge;
-    return old && hooks_.mayPromise(now);
+    return permission_.olderThan(promiseAge, now) && hooks_.mayPromise(now);
 }
 
 // A peer that misses a primary wants to know whether it answers here.
@@ -675,7 +537,7 @@
     takeReport(report, context_.clock.now(), false);
     probeFor(report);
     PeerReport answer = makeReport();
-    answer.copies = copiesFor(report);
+    answer.copies = context_.copiesFor(report);
     const TimePoint now = context_.clock.now();
     if (report.promise && mayPromise(now)) {
         answer.promise = true;
@@ -684,32 +546,10 @@
     return answer;
 }
 
-unsigned FleetPeers::rankFor(const ServiceName &service)
-{
-    if (const auto known = ranks_.find(service); known != ranks_.end())
-        return known->second;
-    // In a large fleet the confirmers come first: they have the newest copies.
-    const auto weight = [&](const VmId &vm) {
-        const std::string key = service.value() + "/" + vm.value();
-        const bool later = inLargeFleet() && fleetConfirmers_.count(vm) == 0;
-        return std::pair(later, XXH64(key.data(), key.size(), 0));
-    };
-    const auto own = weight(context_.settings.vm);
-    const auto rank = static_cast<unsigned>(
-        std::count_if(members_.begin(), members_.end(),
-                      [&](const auto &member) { return weight(member.first) < own; }));
-    return ranks_[service] = rank;
-}
-
 bool FleetPeers::mayAnnounce(TimePoint now) const
 {
     const bool newcomer = registeredAt_ && now - *registeredAt_ < newcomerDelay;
-    return !promised(now) && (!newcomer || members_.empty());
-}
-
-bool FleetPeers::established(TimePoint now) const
-{
-    return membersKnownSince_ && now - *membersKnownSince_ >= PrimaryPermission::longestLifetime;
+    return !promised(now) && (!newcomer || members_.others().empty());
 }
 
 bool FleetPeers::obeys(const VmId &vm, ResourceVersion version) const
@@ -721,26 +561,15 @@
 
 bool FleetPeers::allWithdrawn(ResourceVersion version) const
 {
-    // A daemon that was removed may be cut off, with a permission that is still in force.
-    return obeyedRecords_ >= version && removed_.empty()
-           && std::all_of(members_.begin(), members_.end(),
-                          [&](const auto &member) { return obeys(member.first, version); });
+    return obeyedRecords_ >= version
+           && members_.allMeet([&](const VmId &vm) { return obeys(vm, version); });
 }
 
-// Those that do not obey may count other members than this daemon does: removed ones still, and new
-// ones not yet. Only daemons that all count may stand against them.
 bool FleetPeers::halfWithdrawn(ResourceVersion version) const
 {
-    const TimePoint now = context_.clock.now();
-    const auto old = [&](const std::optional<TimePoint> &since) {
-        return since && now - *since >= PrimaryPermission::longestLifetime;
-    };
-    if (!established(now))
-        return false;
-    std::size_t obeying = obeyedRecords_ >= version && old(registeredSince_) ? 1 : 0;
-    for (const auto &[vm, since] : memberSince_)
-        obeying += old(since) && obeys(vm, version) ? 1 : 0;
-    return 2 * obeying >= members_.size() + removed_.size() + 1;
+    return members_.halfMeet(
+        obeyedRecords_ >= version, [&](const VmId &vm) { return obeys(vm, version); },
+        context_.clock.now());
 }
 
 PrimaryOpinion FleetPeers::opinionOn(const ServiceName &service, const EndpointId &endpoint) const
@@ -750,7 +579,7 @@
     const PrimaryEvidence *own = ownEvidence(service);
     if (own && own->endpoint == endpoint)
         opinion.failingSince = own->failingSince;
-    opinion.asked = static_cast<unsigned>(members_.size());
+    opinion.asked = static_cast<unsigned>(members_.otherCount());
     for (const auto &[vm, peer] : peerStates_) {
         if (!peer.report || now - peer.receivedAt > reportLifetime)
             continue;
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -2,14 +2,13 @@
 #define PISTACHIOWOOD_TAKEOVER_FLEET_PEERS_H
 
 #include "takeover/fleet_context.h"
+#include "takeover/fleet_members.h"
 #include "takeover/primary_permission.h"
-#include "takeover/records.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace pistachiowood {
@@ -41,9 +40,9 @@
     FleetPeers(FleetContext &context, Hooks hooks);
 
     /// Daemons by the member records, without this one, and whether it has a record itself.
-    void setMembers(std::map<VmId, DaemonRecord> members, std::map<VmId, DaemonRecord> removed,
-                    bool registered);
-    std::size_t memberCount() const { return members_.size(); }
+    void setMembers(const std::map<VmId, DaemonRecord> &present,
+                    const std::map<VmId, DaemonRecord> &removed, bool registered);
+    FleetMembers &members() { return members_; }
     /// The store has shown that the records hold every change made before the time.
     void confirmByStore(TimePoint at);
     /// The traffic thread obeys the records of that version.
@@ -62,16 +61,12 @@
     bool allWithdrawn(ResourceVersion version) const;
     /// Whether at least half of them do, whichever of the lately known members the others count.
     bool halfWithdrawn(ResourceVersion version) const;
-    /// Whether this daemon has seen the members for as long as a permission can last.
-    bool established(TimePoint now) const;
     PrimaryOpinion opinionOn(const ServiceName &service, const EndpointId &endpoint) const;
-    /// Order in which the daemons act for the service.
-    unsigned rankFor(const ServiceName &service);
 
 private:
     struct PeerState
     {
-        std::optional<PeerReport> report;
+        std::optional<PeerFacts> report;
         TimePoint receivedAt; ///< of the report, or of the member's record
         bool exchanging = false;
         unsigned failures = 0; ///< exchanges in a row without an answer
@@ -80,8 +75,6 @@
     /// How this daemon keeps its permission to use primaries.
     struct Confirmation
     {
-        std::vector<VmId> confirmers; ///< daemons of the region that ask the store for the others
-        bool self = true; ///< this daemon is one of them
         bool checking = false; ///< a call to the store is open
         std::size_t next = 0; ///< index of the confirmer to ask
         unsigned misses = 0; ///< answers without a recent confirmation
@@ -99,9 +92,8 @@
     };
 
     void confirmRecords(TimePoint at);
+    void noteStoreConfirmation(TimePoint at);
     bool obeys(const VmId &vm, ResourceVersion version) const;
-    void chooseConfirmers();
-    bool inLargeFleet() const;
     void chooseFeedsToWatch(TimePoint now);
     void logPermission(TimePoint now);
     void registerSelf();
@@ -111,7 +103,6 @@
     void askConfirmer(TimePoint now);
     void askStore(TimePoint now);
     bool answersLately(const VmId &vm, TimePoint now) const;
-    Milliseconds jittered(Milliseconds time);
     const VmId &collector() const;
     void tickPeers(TimePoint now);
     void removeLostMembers(TimePoint now);
@@ -120,12 +111,11 @@
     void tickConfiguration(TimePoint now);
     void exchangeWithAll(bool wantPromise);
     void exchangeWithSome();
+    void exchangeWithMember(const VmId &vm);
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
     void countPromise(PromiseRound &round);
     PeerReport makeReport() const;
-    std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
-    void takeCopies(const PeerReport &report);
     void takeReport(const PeerReport &report, TimePoint sentAt, bool answer);
     void probeFor(const PeerReport &report);
     bool mayPromise(TimePoint now) const;
@@ -133,12 +123,8 @@
 
     FleetContext &context_;
     Hooks hooks_;
-    std::map<VmId, DaemonRecord> members_;
-    std::vector<VmId> regionMembers_; ///< with this daemon, the confirmers first
-    std::set<VmId> fleetConfirmers_; ///< of all regions
-    std::map<ServiceName, unsigned> ranks_; ///< by service, until the members change
+    FleetMembers members_;
     Confirmation confirmation_;
-    bool registered_ = false;
     bool registering_ = false;
     TimePoint nextRegistration_{}; ///< after a failed one
     std::optional<TimePoint> startedAt_;
@@ -148,11 +134,6 @@
     bool fetchingConfiguration_ = false;
     std::optional<TimePoint> registeredAt_; ///< set if this life created the member record
     std::map<VmId, PeerState> peerStates_;
-    std::map<VmId, DaemonRecord> removed_; ///< daemons whose permissions may still be in force
-    std::map<VmId, TimePoint> removedSince_; ///< as this daemon saw it
-    std::map<VmId, TimePoint> memberSince_;
-    std::optional<TimePoint> membersKnownSince_;
-    std::optional<TimePoint> registeredSince_;
     std::optional<TimePoint> storeConfirmedAt_; ///< by this daemon's own question or a peer's
     std::map<ServiceName, PrimaryEvidence> evidence_;
     PrimaryPermission permission_;
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -219,10 +219,8 @@
 
 bool GroupFeed::takeSnapshot(const GroupSnapshot &snapshot)
 {
-    if (loaded_ && snapshot.version <= version_) {
-        contentVersion_ = std::max(contentVersion_, snapshot.version);
+    if (loaded_ && holds(snapshot.version))
         return false;
-    }
     std::map<std::string, StoredItem> items;
     for (const StoredItem &item : snapshot.items)
         items[item.name] = item;
@@ -251,18 +249,24 @@
     handlers_.changed();
 }
 
+// A version that this copy has passed without a change is the version of its content, too: peers
+// with that version would else count as newer.
+bool GroupFeed::holds(ResourceVersion version)
+{
+    if (version > version_)
+        return false;
+    contentVersion_ = std::max(contentVersion_, version);
+    return true;
+}
+
 void GroupFeed::takeCopy(const GroupCopy &copy)
 {
     if (!copy.since) {
         takeSnapshot({copy.version, copy.items});
         return;
     }
-    if (!loaded_ || version_ < *copy.since)
-        return;
-    if (copy.version <= version_) {
-        contentVersion_ = std::max(contentVersion_, copy.version);
+    if (!loaded_ || version_ < *copy.since || holds(copy.version))
         return;
-    }
     GroupChanges changes{copy.version, {}};
     for (const StoredItem &item : copy.items)
         changes.changes.push_back({item, false});
@@ -278,8 +282,7 @@
 GroupCopy GroupFeed::copyFor(ResourceVersion known) const
 {
     GroupCopy copy{.group = group_, .version = contentVersion_};
-    const bool partial = known >= removalHorizon_;
-    if (partial) {
+    if (known >= removalHorizon_) {
         copy.since = known;
         for (const auto &[name, goneAt] : removed_) {
             if (goneAt > known)
@@ -287,10 +290,32 @@
         }
     }
     for (const auto &[name, item] : items_) {
-        if (!partial || item.version > known)
+        if (lacks(known, item))
             copy.items.push_back(item);
     }
     return copy;
 }
 
+std::size_t GroupFeed::copySize(ResourceVersion known) const
+{
+    std::size_t size = 0;
+    for (const auto &[name, item] : items_)
+        size += lacks(known, item) ? item.text.size() : 0;
+    return size;
+}
+
+// Without all removals since the version, a peer needs the whole group.
+bool GroupFeed::lacks(ResourceVersion known, const StoredItem &item) const
+{
+    return known < removalHorizon_ || item.version > known;
+}
+
+std::optional<ResourceVersion> GroupFeed::versionOf(const std::string &name) const
+{
+    const auto found = items_.find(name);
+    if (found == items_.end())
+        return std::nullopt;
+    return found->second.version;
+}
+
 } // namespace pistachiowood
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -39,6 +39,8 @@
     void takeCopy(const GroupCopy &copy);
     /// What a peer with that content version lacks.
     GroupCopy copyFor(ResourceVersion known) const;
+    /// Bytes of the texts in that copy.
+    std::size_t copySize(ResourceVersion known) const;
     /// Asks the store for changes beside the waiting watch, which may hear nothing for long. The
     /// callback tells whether it answered.
     void check(Milliseconds wait, std::function<void(bool answered)> callback);
@@ -46,6 +48,8 @@
     void takeOwnChange(const StoredItem &item);
 
     const std::map<std::string, StoredItem> &items() const { return items_; }
+    /// Version of the object of that name, if there is one.
+    std::optional<ResourceVersion> versionOf(const std::string &name) const;
     ResourceVersion version() const { return version_; }
     /// Version with which the content last changed; copies of equal content are not exchanged.
     ResourceVersion contentVersion() const { return contentVersion_; }
@@ -59,6 +63,8 @@
 private:
     void list();
     bool takeSnapshot(const GroupSnapshot &snapshot);
+    bool holds(ResourceVersion version);
+    bool lacks(ResourceVersion known, const StoredItem &item) const;
     void watch();
     void watchAgain();
     void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_TAKEOVER_PEER_REPORT_H
 #define PISTACHIOWOOD_TAKEOVER_PEER_REPORT_H
 
+#include "gateway/gateway.h"
 #include "takeover/platform_store.h"
 
 #include <pistachiowood/log_position.h>
@@ -25,18 +26,25 @@
     Milliseconds positionAge{0}; ///< time since it was asked for the position
 };
 
-/// What a daemon tells a peer of the platform's objects and of the primaries. The answer holds
-/// copies of the groups of which the asking daemon has an older version.
-struct PeerReport
+PrimaryReport describePrimary(const PrimaryEvidence &evidence, TimePoint now);
+
+/// What a daemon tells a peer of its copies and of the primaries.
+struct PeerFacts
 {
     VmId vm;
     std::array<ResourceVersion, objectGroupCount> versions;
     ResourceVersion obeyedRecords; ///< version of the records that the sender's traffic obeys
     std::optional<Milliseconds> confirmedAge; ///< since its records were known to be complete
     std::optional<Milliseconds> storeConfirmedAge; ///< the same by the store, not by promises
+    std::vector<PrimaryReport> primaries;
+};
+
+/// One message between daemons. The answer holds copies of the groups of which the asking daemon
+/// has an older version.
+struct PeerReport : PeerFacts
+{
     bool promise = false; ///< asked for, or given: no replacement is announced for a while
     bool wantsConfiguration = false; ///< the answer shall hold it even if it is large
-    std::vector<PrimaryReport> primaries;
     std::vector<GroupCopy> copies;
 };
 
--- a/src/takeover/primary_permission.h
+++ b/src/takeover/primary_permission.h
@@ -29,6 +29,12 @@
 
     std::optional<TimePoint> confirmedAt() const { return confirmedAt_; }
 
+    /// Whether the last confirmation is older than the age, or there is none.
+    bool olderThan(Milliseconds age, TimePoint now) const
+    {
+        return !confirmedAt_ || now - *confirmedAt_ > age;
+    }
+
     /// Time until which the primaries may be used.
     std::optional<TimePoint> expiresAt() const
     {
--- a/src/takeover/replacement_exploration_test.cpp
+++ b/src/takeover/replacement_exploration_test.cpp
@@ -103,7 +103,9 @@
     std::optional<World::Versioned> known;
     TimePoint knownSince{};
     std::optional<std::function<void(TimePoint)>> result; ///< of the open call
-    std::array<bool, 3> callMade{}; ///< first calls meet the fate of the scenario
+    bool dutyAsked = false; ///< first calls of a kind meet the fate of the scenario
+    bool announced = false;
+    bool promoted = false;
 };
 
 class Exploration
@@ -185,10 +187,9 @@
                 replacer.known = copy;
                 replacer.knownSince = timeOf(now_);
             }
-            if (world_.duty && scenario_.answerDelay == 0)
-                replacer.lease.observe(world_.duty, world_.dutyVersion, timeOf(now_));
         }
-        if (world_.duty && now_ % 2 == 0) // a watch brings the duty record with some delay
+        // A watch brings the duty record, with some delay if the store is slow.
+        if (world_.duty && (scenario_.answerDelay == 0 || now_ % 2 == 0))
             replacer.lease.observe(world_.duty, world_.dutyVersion, timeOf(now_));
         if (!replacer.known)
             return;
@@ -225,7 +226,8 @@
             takeDuty(replacer);
         } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
             const auto version =
-                putRecord(replacer, announcement->record, 1, scenario_.announcement);
+                putRecord(replacer, announcement->record,
+                          fateOf(replacer, replacer.announced, scenario_.announcement));
             replacer.result = [&replacement, version](TimePoint now) {
                 replacement.handleAnnounced(version, now);
             };
@@ -239,7 +241,7 @@
         } else if (std::holds_alternative<PromoteCommand>(command)) {
             promote(replacer);
         } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
-            const auto version = putRecord(replacer, publication->record, 0, CallFate::Answered);
+            const auto version = putRecord(replacer, publication->record, CallFate::Answered);
             replacer.result = [&replacement, version](TimePoint now) {
                 replacement.handlePublished(version.has_value(), now);
             };
@@ -251,7 +253,7 @@
         const TimePoint sentAt = timeOf(now_);
         const DutyRecord proposed = replacer.lease.propose(sentAt);
         const auto expected = replacer.lease.expectedVersion();
-        const CallFate fate = fateOf(replacer, 2, scenario_.duty);
+        const CallFate fate = fateOf(replacer, replacer.dutyAsked, scenario_.duty);
         const auto change = [this, proposed, expected] {
             const bool matches = world_.duty ? expected == world_.dutyVersion : !expected;
             if (matches) {
@@ -275,10 +277,9 @@
     }
 
     std::optional<ResourceVersion> putRecord(Replacer &replacer, const PrimaryRecord &record,
-                                             std::size_t kind, CallFate scenarioFate)
+                                             CallFate fate)
     {
         const ResourceVersion expected = replacer.known->version;
-        const CallFate fate = kind == 0 ? scenarioFate : fateOf(replacer, kind, scenarioFate);
         const auto change = [this, record, expected]() -> std::optional<ResourceVersion> {
             if (world_.service.version != expected)
                 return std::nullopt;
@@ -301,7 +302,7 @@
 
     void promote(Replacer &replacer)
     {
-        const CallFate fate = fateOf(replacer, 0, scenario_.promotion);
+        const CallFate fate = fateOf(replacer, replacer.promoted, scenario_.promotion);
         const std::uint64_t token = replacer.lease.fencingToken();
         const bool stale =
             token < world_.highestToken
@@ -321,9 +322,9 @@
         };
     }
 
-    static CallFate fateOf(Replacer &replacer, std::size_t kind, CallFate fate)
+    static CallFate fateOf(const Replacer &replacer, bool &made, CallFate fate)
     {
-        const bool first = replacer.rank == 0 && !std::exchange(replacer.callMade.at(kind), true);
+        const bool first = replacer.rank == 0 && !std::exchange(made, true);
         return first ? fate : CallFate::Answered;
     }
 
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -121,7 +121,7 @@
         state.missingSince = now;
         return;
     }
-    if (now - state.missingSince < createDelay * peers_.rankFor(service.name))
+    if (now - state.missingSince < createDelay * peers_.members().rankFor(service.name))
         return;
     state.creating = true;
     const PrimaryRecord record{service.name, primary->first, false, context_.settings.vm, 0};
@@ -166,8 +166,8 @@
     input.dutyAvailable = !input.dutyHeld && duty_.available(now) && !recordsFailing;
     input.allWithdrawn = peers_.allWithdrawn(state.recordVersion);
     input.halfWithdrawn = peers_.halfWithdrawn(state.recordVersion);
-    input.rank = peers_.rankFor(service.name);
-    input.established = peers_.established(now);
+    input.rank = peers_.members().rankFor(service.name);
+    input.established = peers_.members().established(now);
     return input;
 }
 
