Keep the process and its peers after an unexpected error or a failed accept

Cause: operators of similar systems lost whole processes to one unexpected error. Here an exception that left a posted task, a timer or a listener of a connection ended the process, and a failed accept of a peer's connection (no free descriptor) ended the RPC server's accept loop for good and silently: the daemon got no confirmation from peers any more until a restart.

Ruled out: malformed JSON, lines and store entries, which are values already (property tests of the decoders). Catching in the loop alone: a handler that throws leaves its connection in an unknown state, so it is closed.

Broken invariants still stop the process.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -19,6 +19,9 @@
     EVENT(SettingsInvalid, 1003, Error, "settings are invalid")                                            \
     EVENT(SettingsReloaded, 1004, Info, "settings file read again")                                        \
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                           \
+    EVENT(TaskFailed, 1101, Error, "unexpected error in a task or a connection, which was ended")          \
+    EVENT(AcceptFailed, 1102, Warning, "connection of a peer could not be accepted; trying again")         \
+    EVENT(StatementFailed, 1200, Debug, "statement failed")                                                \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "net/event_loop.h"
 
+#include "base/log.h"
+
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Reactor.h>
 #include <ace/Thread.h>
@@ -33,6 +35,16 @@
     return std::min<std::size_t>(maxSocketHandles, limit.rlim_cur);
 }
 
+// An unexpected error ends the task and not the process, whose other sessions go on.
+void runGuarded(const std::function<void()> &task)
+{
+    try {
+        task();
+    } catch (const std::exception &failure) {
+        logEvent(Event::TaskFailed, {{"reason", failure.what()}});
+    }
+}
+
 } // namespace
 
 struct EventLoop::Private : public ACE_Event_Handler
@@ -55,8 +67,8 @@
             const std::lock_guard lock(mutex);
             tasks.swap(posted);
         }
-        for (auto &task : tasks)
-            task();
+        for (const auto &task : tasks)
+            runGuarded(task);
     }
 
     void runDueTimers(TimePoint now)
@@ -64,7 +76,7 @@
         while (!timers.empty() && timers.begin()->first.first <= now) {
             auto node = timers.extract(timers.begin());
             timerKeys.erase(node.key().second);
-            node.mapped()();
+            runGuarded(node.mapped());
         }
     }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,6 @@
 #include "net/stream.h"
 
+#include "base/log.h"
 #include "net/address_overrides.h"
 #include "net/sockets.h"
 
@@ -73,21 +74,13 @@
 
     int handle_input(ACE_HANDLE) override
     {
-        const auto self = shared_from_this();
-        if (state == State::Connecting)
-            finishConnect();
-        else if (state == State::Open)
-            readInput();
+        handleEvent(&Private::readInput);
         return 0;
     }
 
     int handle_output(ACE_HANDLE) override
     {
-        const auto self = shared_from_this();
-        if (state == State::Connecting)
-            finishConnect();
-        else if (state == State::Open)
-            writeOutput();
+        handleEvent(&Private::writeOutput);
         return 0;
     }
 
@@ -99,6 +92,21 @@
         return 0;
     }
 
+    // An unexpected error of the listener ends this connection and not the process.
+    void handleEvent(void (Private::*handler)())
+    {
+        const auto self = shared_from_this();
+        try {
+            if (state == State::Connecting)
+                finishConnect();
+            else if (state == State::Open)
+                (this->*handler)();
+        } catch (const std::exception &failure) {
+            logEvent(Event::TaskFailed, {{"reason", failure.what()}});
+            postFailure("an unexpected error");
+        }
+    }
+
     void finishConnect()
     {
         int socketError = 0;
@@ -265,6 +273,12 @@
     return private_->sentBytes;
 }
 
+bool Stream::hasUnreadInput() const
+{
+    char next = 0;
+    return isOpen() && private_->stream.recv(&next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool Stream::isOpen() const
 {
     return private_->state == Private::State::Open;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -59,6 +59,8 @@
     /// Closes the stream once its output has been sent, without an event.
     void closeAfterOutput();
     bool isOpen() const;
+    /// Whether bytes have arrived that were not passed to the listener yet.
+    bool hasUnreadInput() const;
     /// Bytes passed to the operating system, which the peer may have received.
     std::uint64_t sentBytes() const;
 
--- /dev/null
+++ b/src/rpc/peer_rpc_test.cpp
@@ -0,0 +1,104 @@
+#include "rpc/peer_rpc.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+using namespace pistachiowood;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Uses up the descriptors of this process while it exists.
+class DescriptorShortage
+{
+public:
+    DescriptorShortage()
+    {
+        getrlimit(RLIMIT_NOFILE, &previous_);
+        rlimit lowered = previous_;
+        lowered.rlim_cur = 200;
+        setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int descriptor = open("/dev/null", O_RDONLY | O_CLOEXEC); descriptor >= 0;
+             descriptor = open("/dev/null", O_RDONLY | O_CLOEXEC))
+            descriptors_.push_back(descriptor);
+    }
+    ~DescriptorShortage()
+    {
+        for (const int descriptor : descriptors_)
+            close(descriptor);
+        setrlimit(RLIMIT_NOFILE, &previous_);
+    }
+    DescriptorShortage(const DescriptorShortage &) = delete;
+    DescriptorShortage &operator=(const DescriptorShortage &) = delete;
+
+private:
+    rlimit previous_{};
+    std::vector<int> descriptors_;
+};
+
+} // namespace
+
+TEST_GROUP(PeerRpc)
+{
+    EventLoop loop;
+    std::optional<PeerReport> answer;
+
+    void runLoop(Milliseconds time)
+    {
+        loop.startTimer(time, [this] { loop.stop(); });
+        EventLoop &running = loop;
+        running.run();
+    }
+
+    bool exchange(PeerRpc & from, std::uint16_t port)
+    {
+        answer.reset();
+        PeerReport report;
+        report.vm = VmId("caller");
+        from.exchange({"127.0.0.1", port}, report, 300ms,
+                      [this](std::variant<PeerReport, Error> outcome) {
+                          if (const auto *received = std::get_if<PeerReport>(&outcome))
+                              answer = *received;
+                      });
+        runLoop(400ms);
+        return answer.has_value();
+    }
+};
+
+// Guards against a daemon that accepts no peer any more after a moment without free descriptors: it
+// lost its confirmations until it was restarted.
+TEST(PeerRpc, peersAreAcceptedAgainAfterDescriptorShortage)
+{
+    PeerRpc server(loop, [](const PeerReport &) {
+        PeerReport report;
+        report.vm = VmId("server");
+        return report;
+    });
+    CHECK_TRUE(!!server.listen({"127.0.0.1", 0}));
+    PeerRpc caller(loop, [](const PeerReport &report) { return report; });
+    CHECK_TRUE(!!caller.listen({"127.0.0.1", 0}));
+    // A connection that the server can't accept for want of a descriptor.
+    const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    {
+        const DescriptorShortage shortage;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port());
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(waiting, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        runLoop(250ms); // longer than two attempts to accept it
+    }
+    close(waiting);
+    runLoop(300ms);
+    CHECK_TRUE(exchange(caller, server.port()));
+    CHECK_TRUE(answer->vm == VmId("server"));
+}
--- a/src/rpc/rpc_host.cpp
+++ b/src/rpc/rpc_host.cpp
@@ -1,6 +1,7 @@
 #include "rpc/rpc_host.h"
 
 #include "base/address.h"
+#include "base/log.h"
 #include "net/address_overrides.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -24,6 +25,9 @@
 // caller's deadline.
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
 
+// Pause after a failed accept, for example while no file descriptor is free.
+constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
+
 // Queues tasks from other threads and wakes the RPC thread.
 class Mailbox
 {
@@ -239,12 +243,22 @@
 struct RpcHost::Private
 {
     static kj::Promise<void> acceptAll(capnp::TwoPartyServer &server,
-                                       kj::ConnectionReceiver &receiver, ByteCounter &counter)
+                                       kj::ConnectionReceiver &receiver, ByteCounter &counter,
+                                       kj::Timer &timer)
     {
-        return receiver.accept().then([&](kj::Own<kj::AsyncIoStream> stream) {
-            server.accept(kj::heap<CountingStream>(kj::mv(stream), counter));
-            return acceptAll(server, receiver, counter);
-        });
+        // evalNow() also catches what accept() throws at once.
+        return kj::evalNow([&] { return receiver.accept(); })
+            .then(
+                [&](kj::Own<kj::AsyncIoStream> stream) {
+                    server.accept(kj::heap<CountingStream>(kj::mv(stream), counter));
+                    return acceptAll(server, receiver, counter, timer);
+                },
+                [&](kj::Exception &&failure) {
+                    logEvent(Event::AcceptFailed, {{"reason", failure.getDescription().cStr()}});
+                    return timer.afterDelay(acceptRetryDelay).then([&] {
+                        return acceptAll(server, receiver, counter, timer);
+                    });
+                });
     }
 
     void runThread(const SocketAddress &address, ConnectionClass connectionClass,
@@ -265,7 +279,7 @@
             return;
         }
         capnp::TwoPartyServer server(factory());
-        context.run(acceptAll(server, *receiver, counter));
+        context.run(acceptAll(server, *receiver, counter, io.provider->getTimer()));
         reportStart(receiver->getPort(), "");
         while (!mailbox->isStopped()) {
             auto wakeUp = kj::newPromiseAndCrossThreadFulfiller<void>();
