Share an endpoint's connections for the return of all daemons, and wait for what comes soon

A restarted daemon knows no position of a primary, so all its reads went to the primaries. Reads waited a second for the handshake of an endpoint that was cut off. And by reading: a planned stop closed idle sessions whose statement had arrived but was not read yet.

Ruled out: the control path (configuration and records are there 20 to 45 ms after a start); the queue of the endpoints.

Change: ConnectionBudget decides without I/O how many connections a daemon may hold: half of its share in the first 3 s, recent use while calm, borrowed ones one by one after a refusal; idle times of large fleets halve with each refusal. What waits for an endpoint with too many connections stays. Reads of a daemon without a position ask the primary once and wait up to 300 ms; they leave an endpoint that answers no handshake within 250 ms. Statements wait up to 1.5 s after the start for the first permission. A drain answers statements that have arrived.

On fleets with more daemons than connections little is gained; owners of connections are not built.

--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -30,7 +30,8 @@
         , promotions(factories.makePromotions(control))
         , readiness(factories.makeReadiness(control))
         , dialer(factories.makeDialer(traffic))
-        , gateway(traffic, clock, *dialer)
+        , trafficRandom(drawSeed())
+        , gateway(traffic, clock, trafficRandom, *dialer)
         , callers(factories.makeCallers(traffic, gateway))
         , peers(control,
                 [this](const PeerReport &report) { return fleet->handlePeerReport(report); })
@@ -133,6 +134,7 @@
     std::unique_ptr<PromotionService> promotions;
     std::unique_ptr<ReadinessListener> readiness;
     std::unique_ptr<EndpointDialer> dialer;
+    SeededRandom trafficRandom; ///< used by the traffic thread only
     Gateway gateway;
     std::unique_ptr<CallerListener> callers;
     PeerRpc peers;
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -40,7 +40,7 @@
 {
     if (execution_) {
         if (queuedStatements_.size() >= maxQueuedStatements)
-            channel_.close();
+            channel_.terminate();
         else
             queuedStatements_.push_back(std::move(statement));
         return;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -17,8 +17,11 @@
 public:
     virtual ~CallerChannel() = default;
     virtual void sendReply(const StatementReply &reply) = 0;
-    /// Closes the connection once all replies are sent; the session ends with it.
+    /// Closes the connection once all replies are sent; the session ends with it. Does nothing if
+    /// more statements have arrived: they are passed to the session first.
     virtual void close() = 0;
+    /// Closes the connection without reading further statements.
+    virtual void terminate() = 0;
 };
 
 /// One session of a caller: its variables, prepared statements and open transaction. Runs one
@@ -105,6 +108,7 @@
     void retryLater(Milliseconds delay);
     void handleTimeout();
     void extendTimer(Milliseconds atLeast);
+    void logFailure(ReplyCode code, const std::string &message) const;
     void failStatement(ReplyCode code, const std::string &message);
     void finishStatement(StatementReply reply);
     void replyLocally(std::optional<ReplyCode> failure, const std::string &message);
--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -1,6 +1,8 @@
 // Execution of statements at endpoints: endpoint choice, pooled connection, retries and timeouts.
 #include "gateway/caller_session.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,10 +16,16 @@
 constexpr int endpointWaitShareDenominator = 4;
 // First delay before another attempt to find an endpoint; about the time that one statement takes.
 constexpr Milliseconds initialRetryDelay{25};
+// Delay of a read that waits for the primary's first position; it is resumed at once when the
+// position arrives.
+constexpr Milliseconds positionRetryDelay{50};
 constexpr unsigned maxRetryShift = 3; // the delay doubles up to 8 times the first one
 // A permission that expired less than this long ago may be renewed in time for the caller, so its
 // statement waits. After that the statement is refused.
 constexpr Milliseconds permissionRenewalTimeout{250};
+// Time for which a started daemon's statements wait for its first permission: it registers as a
+// member and has its records confirmed.
+constexpr Milliseconds firstPermissionTimeout{1500};
 // Least time to wait for a renewal of the permission after a commit; a renewal takes two exchanges
 // at most.
 constexpr Milliseconds minConfirmationTimeout{1000};
@@ -107,6 +115,10 @@
         failStatement(ReplyCode::Aborted, "the connection to the endpoint was lost");
         return;
     }
+    if (!needsPrimary() && context_.awaitPosition(route_.service)) {
+        retryLater(positionRetryDelay);
+        return;
+    }
     const TimePoint now = context_.clock().now();
     const EndpointRequirements requirements{
         route_, transaction_ ? transaction_->startedAt : execution_->startedAt, lastCommit_,
@@ -128,8 +140,10 @@
 {
     execution_->target = choice;
     execution_->stage = Stage::WaitingForConnection;
-    execution_->requestId =
-        choice.pool->acquire(*this, variables_, route_.priority, execution_->endpointDeadline);
+    execution_->requestId = choice.pool->acquire(*this, {.variables = variables_,
+                                                         .priority = route_.priority,
+                                                         .deadline = execution_->endpointDeadline,
+                                                         .movable = !needsPrimary()});
 }
 
 void CallerSession::waitForEndpoint()
@@ -140,7 +154,11 @@
     // available, so the statement is refused after a quarter of the target latency.
     const ServiceView *service = context_.findService(route_.service);
     const bool replacementInProgress = service && service->replacementInProgress;
-    const TimePoint limit = replacementInProgress
+    // A daemon that has just started gets its first permission soon. After a stop of all daemons
+    // the others have none either, so a refusal would only use up the caller's attempts.
+    const bool starting =
+        !context_.primariesPermitted() && now - context_.firstViewAt() < firstPermissionTimeout;
+    const TimePoint limit = replacementInProgress || starting
                                 ? execution_->endpointDeadline
                                 : std::min(execution_->endpointDeadline,
                                            execution_->startedAt + route_.targetLatency / 4);
@@ -151,7 +169,8 @@
     // Exponential backoff: a lagging replica is not asked again every 25 ms.
     const Milliseconds delay =
         initialRetryDelay * (1 << std::min(execution_->endpointWaits++, maxRetryShift));
-    const bool unavailable = !replacementInProgress && cutOff && execution_->excluded.empty();
+    const bool unavailable =
+        !replacementInProgress && !starting && cutOff && execution_->excluded.empty();
     if (unavailable || now + delay >= limit)
         failStatement(ReplyCode::Busy, "no endpoint can run the statement now");
     else
@@ -198,7 +217,7 @@
 void CallerSession::handleConnectionRefused(ConnectionFailure failure)
 {
     execution_->requestId = 0;
-    execution_->excluded.insert(execution_->target.pool->endpoint().id);
+    execution_->excluded.insert(execution_->target.endpoint);
     const TimePoint now = context_.clock().now();
     if (now >= execution_->endpointDeadline) {
         failStatement(ReplyCode::Busy, failure == ConnectionFailure::Refused
@@ -338,7 +357,7 @@
 void CallerSession::retryStatement(ReplyCode code)
 {
     const TimePoint now = context_.clock().now();
-    const EndpointId endpoint = execution_->target.pool->endpoint().id;
+    const EndpointId endpoint = execution_->target.endpoint;
     if (code == ReplyCode::Lagging)
         context_.replicaLag(endpoint).recordLagging(now);
     if (now >= execution_->endpointDeadline) {
@@ -449,8 +468,24 @@
         failStatement(ReplyCode::Busy, "no endpoint was available in time");
 }
 
+void CallerSession::logFailure(ReplyCode code, const std::string &message) const
+{
+    if (!isLogged(Event::StatementFailed))
+        return;
+    const auto elapsed =
+        std::chrono::duration_cast<Milliseconds>(context_.clock().now() - execution_->startedAt);
+    logEvent(Event::StatementFailed, {{"id", execution_->statement.id},
+                                      {"database", route_.database},
+                                      {"code", static_cast<int>(code)},
+                                      {"reason", message},
+                                      {"endpoint", execution_->target.endpoint.value()},
+                                      {"stage", static_cast<int>(execution_->stage)},
+                                      {"elapsed_ms", elapsed.count()}});
+}
+
 void CallerSession::failStatement(ReplyCode code, const std::string &message)
 {
+    logFailure(code, message);
     if (execution_->requestId != 0) {
         execution_->target.pool->cancel(execution_->requestId);
         execution_->requestId = 0;
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -13,14 +13,7 @@
 // Weights of a new sample in the exponential moving averages.
 constexpr double latencyWeight = 0.1;
 constexpr double useTimeWeight = 0.05;
-// Idle time after which a connection above this daemon's share is closed, so that the daemons to
-// whose share it belongs can open theirs.
-constexpr Milliseconds borrowedIdleTimeout{300};
-// Time without connections above the share after the endpoint reported too many connections.
-constexpr Milliseconds borrowRetryDelay{1000};
-// Endpoints close connections that are idle for 60 s; the pool closes them well before, so that no
-// statement is sent on a connection that is being closed.
-constexpr Milliseconds idleTimeout{30000};
+constexpr double handshakeWeight = 0.2;
 // Delay after a failed connect, doubled with each failure up to 800 ms: an endpoint restarts within
 // seconds.
 constexpr Milliseconds dialBackoff{100};
@@ -32,6 +25,9 @@
 // Time to open a connection. A handshake takes 12 ms, plus the time that it waits behind queued
 // statements.
 constexpr Milliseconds handshakeTimeout{2000};
+// Time without any answer to a first handshake after which statements that another endpoint can run
+// are moved there; a handshake between regions takes about 50 ms.
+constexpr Milliseconds moveTimeout{250};
 
 } // namespace
 
@@ -66,7 +62,7 @@
 }
 
 ConnectionPool::ConnectionPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer,
-                               ServiceName service, EndpointView endpoint,
+                               ConnectionBudget budget, ServiceName service, EndpointView endpoint,
                                PositionHandler positionHandler)
     : loop_(loop)
     , clock_(clock)
@@ -74,6 +70,7 @@
     , service_(std::move(service))
     , endpoint_(std::move(endpoint))
     , positionHandler_(std::move(positionHandler))
+    , budget_(budget)
 {
 }
 
@@ -82,12 +79,11 @@
     *alive_ = false;
 }
 
-ConnectionPool::RequestId ConnectionPool::acquire(ConnectionUser &user,
-                                                  const SessionVariables &variables,
-                                                  unsigned priority, TimePoint deadline)
+ConnectionPool::RequestId ConnectionPool::acquire(ConnectionUser &user, Request request)
 {
     const RequestId requestId = ++lastRequestId_;
-    waiters_.emplace(WaiterKey{priority, deadline, requestId}, Waiter{requestId, &user, variables});
+    waiters_.emplace(WaiterKey{request.priority, request.deadline, requestId},
+                     Waiter{requestId, &user, std::move(request.variables), request.movable});
     // Asynchronous: the caller stores the request id before it gets the connection.
     postServeWaiters();
     return requestId;
@@ -139,20 +135,16 @@
 {
     if (waiters_.empty())
         return;
-    if (clock_.now() < dialBlockedUntil_) {
-        const bool none =
-            std::none_of(connections_.begin(), connections_.end(), [](const auto &entry) {
-                return entry.second->state_ != PooledConnection::State::Opening;
-            });
-        if (none)
-            refuseWaiters(ConnectionFailure::Unreachable);
+    const TimePoint now = clock_.now();
+    if (now < dialBlockedUntil_ && !hasEstablishedConnection()) {
+        refuseWaiters(ConnectionFailure::Unreachable);
         return;
     }
-    auto opening = static_cast<std::size_t>(
-        std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) {
-            return entry.second->state_ == PooledConnection::State::Opening;
-        }));
-    while (opening < waiters_.size() && connections_.size() < limit()) {
+    // An endpoint with too many connections gives some back soon, so the waiters stay.
+    if (now < dialBlockedUntil())
+        return;
+    std::size_t opening = countInState(PooledConnection::State::Opening);
+    while (opening < waiters_.size() && connections_.size() < budget_.limit(now)) {
         const std::uint64_t id = ++lastConnectionId_;
         auto &connection =
             connections_.emplace(id, std::make_unique<PooledConnection>(*this, id)).first->second;
@@ -162,16 +154,21 @@
     }
 }
 
-void ConnectionPool::setLimit(std::size_t share, std::size_t borrowFactor)
+std::size_t ConnectionPool::countInState(PooledConnection::State state) const
 {
-    idleLimit_ = share;
-    share_ = std::max<std::size_t>(share, 1);
-    borrowLimit_ = share_ * borrowFactor;
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [&](const auto &entry) { return entry.second->state_ == state; }));
 }
 
-std::size_t ConnectionPool::limit() const
+bool ConnectionPool::hasEstablishedConnection() const
 {
-    return clock_.now() < borrowBlockedUntil_ ? share_ : borrowLimit_;
+    return countInState(PooledConnection::State::Opening) < connections_.size();
+}
+
+TimePoint ConnectionPool::dialBlockedUntil() const
+{
+    return std::max(dialBlockedUntil_, budget_.dialBlockedUntil());
 }
 
 void ConnectionPool::grant(PooledConnection &connection, ConnectionUser &user)
@@ -235,6 +232,10 @@
                                   std::optional<TermPosition> position)
 {
     dialFailures_ = 0;
+    budget_.recordOpened();
+    const double taken =
+        std::chrono::duration<double, std::milli>(clock_.now() - connection.lastSend_).count();
+    handshakeMs_ += handshakeWeight * (taken - handshakeMs_);
     recordReply(connection.lastSend_);
     if (position)
         positionHandler_(connection.lastSend_, *position);
@@ -276,17 +277,26 @@
     if (wasOpening) {
         if (failure == ConnectionFailure::Unreachable)
             recordFailure();
-        if (failure == ConnectionFailure::TooManyConnections)
-            borrowBlockedUntil_ = clock_.now() + borrowRetryDelay;
-        const unsigned shift = std::min(dialFailures_++, maxDialBackoffShift);
-        dialBlockedUntil_ = clock_.now() + dialBackoff * (1 << shift);
+        if (failure == ConnectionFailure::TooManyConnections) {
+            recordReply(connection.lastSend_);
+            budget_.recordRefused(clock_.now());
+            loop_.startTimer(
+                std::chrono::ceil<Milliseconds>(budget_.dialBlockedUntil() - clock_.now()),
+                [this, alive = alive_] {
+                    if (*alive)
+                        serveWaiters();
+                });
+        } else {
+            const unsigned shift = std::min(dialFailures_++, maxDialBackoffShift);
+            dialBlockedUntil_ = clock_.now() + dialBackoff * (1 << shift);
+        }
     } else if (user) {
         recordFailure();
     }
     removeConnection(connection.id_);
     if (user)
         user->handleConnectionLost();
-    if (wasOpening && connections_.empty())
+    if (wasOpening && connections_.empty() && failure != ConnectionFailure::TooManyConnections)
         refuseWaiters(failure);
 }
 
@@ -308,15 +318,16 @@
 void ConnectionPool::tick()
 {
     const TimePoint now = clock_.now();
+    budget_.recordInUse(countInState(PooledConnection::State::InUse) + waiters_.size(), now);
     std::vector<std::uint64_t> toClose;
     std::vector<PooledConnection *> unopened;
     for (const auto &[id, connection] : connections_) {
         if (connection->state_ == PooledConnection::State::Opening
             && now - connection->lastSend_ > handshakeTimeout)
             unopened.push_back(connection.get());
-        const bool borrowed = connections_.size() - toClose.size() > idleLimit_;
         if (connection->state_ == PooledConnection::State::Idle
-            && now - connection->idleSince_ > (borrowed ? borrowedIdleTimeout : idleTimeout))
+            && now - connection->idleSince_
+                   > budget_.idleTimeout(connections_.size() - toClose.size(), now))
             toClose.push_back(id);
         const bool awaitsReply =
             connection->outstanding_ > 0 || connection->state_ == PooledConnection::State::Opening;
@@ -342,9 +353,31 @@
         const Waiter waiter = std::move(waiters_.extract(expired).mapped());
         waiter.user->handleConnectionRefused(ConnectionFailure::Refused);
     }
+    moveWaitersOfSilentEndpoint();
     serveWaiters();
 }
 
+// Refuses the statements that another endpoint can run if no handshake is answered in time.
+void ConnectionPool::moveWaitersOfSilentEndpoint()
+{
+    const TimePoint now = clock_.now();
+    const bool silent =
+        !hasEstablishedConnection()
+        && std::any_of(connections_.begin(), connections_.end(), [&](const auto &entry) {
+               return now - entry.second->lastSend_ > moveTimeout;
+           });
+    if (!silent)
+        return;
+    std::vector<ConnectionUser *> moved;
+    std::erase_if(waiters_, [&](const auto &entry) {
+        if (entry.second.movable)
+            moved.push_back(entry.second.user);
+        return entry.second.movable;
+    });
+    for (ConnectionUser *user : moved)
+        user->handleConnectionRefused(ConnectionFailure::Unreachable);
+}
+
 void ConnectionPool::shutDown(ConnectionFailure failure)
 {
     refuseWaiters(failure);
@@ -367,17 +400,14 @@
     if (ahead == 0)
         return Milliseconds(0);
     const std::size_t connections =
-        std::max<std::size_t>(1, std::min(connections_.size(), limit()));
+        std::max<std::size_t>(1, std::min(connections_.size(), budget_.limit(clock_.now())));
     return Milliseconds(static_cast<std::int64_t>(static_cast<double>(ahead) * meanUseMs_
                                                   / static_cast<double>(connections)));
 }
 
 bool ConnectionPool::usable() const
 {
-    const bool open = std::any_of(connections_.begin(), connections_.end(), [](const auto &entry) {
-        return entry.second->state_ != PooledConnection::State::Opening;
-    });
-    return !failingSince_ && (open || clock_.now() >= dialBlockedUntil_);
+    return !failingSince_ && (hasEstablishedConnection() || clock_.now() >= dialBlockedUntil_);
 }
 
 ConnectionPoolHealth ConnectionPool::health() const
@@ -386,13 +416,16 @@
     health.lastReply = lastReply_;
     health.failingSince = failingSince_;
     health.latency = Milliseconds(static_cast<std::int64_t>(latencyMs_));
-    health.inUse = static_cast<std::size_t>(
-        std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) {
-            return entry.second->state_ == PooledConnection::State::InUse;
-        }));
+    health.inUse = countInState(PooledConnection::State::InUse);
     health.open = connections_.size();
     health.waiting = waiters_.size();
-    health.limit = share_;
+    health.limit = budget_.share();
+    if (countInState(PooledConnection::State::Idle) == 0 && !hasEstablishedConnection()) {
+        const auto pause =
+            std::chrono::ceil<Milliseconds>(budget_.dialBlockedUntil() - clock_.now());
+        health.connectDelay = std::max(pause, Milliseconds(0))
+                              + Milliseconds(static_cast<std::int64_t>(handshakeMs_));
+    }
     return health;
 }
 
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_GATEWAY_CONNECTION_POOL_H
 #define PISTACHIOWOOD_GATEWAY_CONNECTION_POOL_H
 
+#include "gateway/connection_budget.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/session_setup.h"
 #include "net/event_loop.h"
@@ -40,6 +41,7 @@
     std::size_t inUse = 0;
     std::size_t waiting = 0;
     std::size_t limit = 0; ///< connections in this daemon's share
+    Milliseconds connectDelay{0}; ///< expected time to open one more; 0 if one is idle
 };
 
 /// One connection of a pool. At most one user has it at a time.
@@ -85,22 +87,26 @@
     using PositionHandler = std::function<void(TimePoint requestedAt, TermPosition position)>;
     using RequestId = std::uint64_t;
 
-    ConnectionPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer, ServiceName service,
-                   EndpointView endpoint, PositionHandler positionHandler);
+    ConnectionPool(EventLoop &loop, const Clock &clock, EndpointDialer &dialer,
+                   ConnectionBudget budget, ServiceName service, EndpointView endpoint,
+                   PositionHandler positionHandler);
     ~ConnectionPool();
 
     void setEndpoint(const EndpointView &endpoint) { endpoint_ = endpoint; }
     const EndpointView &endpoint() const { return endpoint_; }
     const ServiceName &service() const { return service_; }
-    /// Sets this daemon's share of the endpoint's connections, which it may keep open while idle.
-    /// It may open `borrowFactor` times the share, at least `borrowFactor`, as long as the endpoint
-    /// accepts them: other daemons may leave theirs unused.
-    void setLimit(std::size_t share, std::size_t borrowFactor);
+    ConnectionBudget &budget() { return budget_; }
 
+    struct Request
+    {
+        SessionVariables variables;
+        unsigned priority = 0; ///< 0 is the highest
+        TimePoint deadline;
+        bool movable = false; ///< another endpoint may run it; refused early if this one is silent
+    };
     /// Requests a connection. The user is called later, once, with the connection or the refusal;
     /// the request id is invalid from then on.
-    RequestId acquire(ConnectionUser &user, const SessionVariables &variables, unsigned priority,
-                      TimePoint deadline);
+    RequestId acquire(ConnectionUser &user, Request request);
     void cancel(RequestId requestId);
     /// Returns a connection to the pool. It is closed if statements have no reply yet; an open
     /// transaction is rolled back before the connection is reused.
@@ -128,11 +134,14 @@
         RequestId requestId = 0;
         ConnectionUser *user = nullptr;
         SessionVariables variables;
+        bool movable = false;
     };
     using WaiterKey = std::tuple<unsigned, TimePoint, RequestId>;
 
     void openConnections();
-    std::size_t limit() const;
+    bool hasEstablishedConnection() const;
+    std::size_t countInState(PooledConnection::State state) const;
+    void moveWaitersOfSilentEndpoint();
     void serveWaiters();
     void postServeWaiters(); ///< posts serveWaiters() to the event loop
     PooledConnection *findIdle(const SessionVariables &variables);
@@ -145,6 +154,7 @@
                       const std::string &reason);
     void recordFailure();
     void recordReply(TimePoint sentAt);
+    TimePoint dialBlockedUntil() const;
 
     EventLoop &loop_;
     const Clock &clock_;
@@ -152,10 +162,7 @@
     ServiceName service_;
     EndpointView endpoint_;
     PositionHandler positionHandler_;
-    std::size_t idleLimit_ = 1; ///< kept while idle; 0 if there are more daemons than connections
-    std::size_t share_ = 1; ///< share of the endpoint's connections, at least 1
-    std::size_t borrowLimit_ = 1; ///< share and borrowed connections together
-    TimePoint borrowBlockedUntil_{};
+    ConnectionBudget budget_;
     double meanUseMs_ = 0; ///< smoothed time from grant to release of a connection
     std::uint64_t lastConnectionId_ = 0;
     RequestId lastRequestId_ = 0;
@@ -166,6 +173,7 @@
     TimePoint dialBlockedUntil_{};
     unsigned dialFailures_ = 0;
     double latencyMs_ = 0;
+    double handshakeMs_ = 0; ///< smoothed time to open a connection
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/endpoint_choice.cpp
+++ b/src/gateway/endpoint_choice.cpp
@@ -53,6 +53,7 @@
                    .expectedFresh(*required.minPosition, required.age, context.clock().now()));
     candidate.distance = endpoint.distance;
     candidate.latency = health.latency;
+    candidate.connectDelay = health.connectDelay;
     candidate.inUse = health.inUse;
     candidate.waiting = health.waiting;
     candidate.limit = health.limit;
@@ -78,7 +79,7 @@
     const auto &acceptsStatementsUntil = pool->endpoint().acceptsStatementsUntil;
     if (acceptsStatementsUntil && context.clock().now() >= *acceptsStatementsUntil)
         return std::nullopt;
-    return EndpointChoice{pool, std::nullopt, service->primaryEpoch};
+    return EndpointChoice{pool, *service->primary, std::nullopt, service->primaryEpoch};
 }
 
 std::optional<EndpointChoice> chooseForRead(GatewayContext &context,
@@ -103,7 +104,7 @@
     if (!chosen)
         return std::nullopt;
     const EndpointId &id = service->endpoints.at(*chosen).id;
-    return EndpointChoice{context.findPool(requirements.route.service, id),
+    return EndpointChoice{context.findPool(requirements.route.service, id), id,
                           candidates.at(*chosen).primary ? std::nullopt : required.minPosition,
                           service->primaryEpoch};
 }
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -29,7 +29,8 @@
 /// Endpoint chosen to run a statement.
 struct EndpointChoice
 {
-    ConnectionPool *pool = nullptr;
+    ConnectionPool *pool = nullptr; ///< not valid after the connection was granted or refused
+    EndpointId endpoint;
     std::optional<TermPosition> minPosition; ///< replicas: position that the log must hold
     std::uint64_t primaryEpoch = 0;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,17 +11,15 @@
 
 constexpr Milliseconds tickInterval{100};
 constexpr unsigned ticksPerPoolLog = 10; // ticks between two log entries of the pools, 1 s
-// Connections of each endpoint that are not shared out, for status queries and restarting daemons.
-constexpr unsigned reservedConnections = 2;
-// Multiple of its share of connections that a daemon may open, because the load balancer spreads
-// callers unevenly.
-constexpr std::size_t borrowFactor = 3;
 // A primary that has not replied for this long is sent a status query. This keeps its known
 // position newer than the smallest maximum staleness (1.5 s) and detects its failure.
 constexpr Milliseconds primaryProbeInterval{500};
 constexpr Milliseconds failingProbeInterval{300}; // of any endpoint while it is failing
 constexpr Milliseconds probeTimeout{1000};
 constexpr unsigned probePriority = 0;
+// Longest time that reads wait for the first position of a primary before they go to the primary
+// themselves. Without it, all reads of a restarted daemon would queue at the primaries.
+constexpr Milliseconds positionTimeout{300};
 
 } // namespace
 
@@ -51,7 +49,8 @@
     {
         pool_ = &pool;
         timer_ = gateway_.loop_.startTimer(timeout, [this] { finish(std::nullopt); });
-        requestId_ = pool.acquire(*this, {}, probePriority, gateway_.clock_.now() + timeout);
+        requestId_ = pool.acquire(
+            *this, {.priority = probePriority, .deadline = gateway_.clock_.now() + timeout});
     }
 
     void handleConnectionGranted(PooledConnection &connection) override
@@ -95,10 +94,12 @@
     TimerId timer_ = 0;
 };
 
-Gateway::Gateway(EventLoop &loop, const Clock &clock, EndpointDialer &dialer)
+Gateway::Gateway(EventLoop &loop, const Clock &clock, RandomSource &random, EndpointDialer &dialer)
     : loop_(loop)
     , clock_(clock)
+    , random_(random)
     , dialer_(dialer)
+    , startedAt_(clock.now())
 {
 }
 
@@ -117,9 +118,13 @@
 
 void Gateway::setView(std::shared_ptr<const DeploymentView> view)
 {
+    if (!configured())
+        firstViewAt_ = clock_.now();
     view_ = std::move(view);
     for (const auto &[name, service] : view_->services) {
         ServiceState &state = services_[name];
+        if (state.positions.primaryEpoch() != service.primaryEpoch)
+            state.positionRequestedAt.reset();
         state.positions.setPrimaryEpoch(service.primaryEpoch);
         updatePools(service, state);
     }
@@ -136,26 +141,21 @@
 
 void Gateway::updatePools(const ServiceView &service, ServiceState &state)
 {
-    const unsigned shared = service.maxConnections > reservedConnections
-                                ? service.maxConnections - reservedConnections
-                                : 1;
-    // 0 if there are more daemons than connections: all connections are then above the share, and
-    // are closed after a short idle time.
-    const std::size_t share = shared / std::max(1U, view_->daemonCount);
     std::set<EndpointId> present;
     for (const EndpointView &endpoint : service.endpoints) {
         present.insert(endpoint.id);
         auto &pool = state.pools[endpoint.id];
         if (!pool) {
             pool = std::make_unique<ConnectionPool>(
-                loop_, clock_, dialer_, service.name, endpoint,
+                loop_, clock_, dialer_, ConnectionBudget(random_, startedAt_), service.name,
+                endpoint,
                 [this, name = service.name, id = endpoint.id](TimePoint requestedAt,
                                                               TermPosition position) {
                     recordPosition(name, id, requestedAt, position);
                 });
         }
         pool->setEndpoint(endpoint);
-        pool->setLimit(share, borrowFactor);
+        pool->budget().setShare(service.maxConnections, view_->daemonCount);
     }
     for (auto entry = state.pools.begin(); entry != state.pools.end();) {
         if (present.count(entry->first) > 0) {
@@ -241,7 +241,7 @@
         // Without the permission at that time, the endpoint may have been replaced as primary and
         // lack newer commits.
         if (requestedAt < permittedUntil_)
-            history.record(requestedAt, position);
+            recordPrimaryPosition(services_[service], {requestedAt, position});
         return;
     }
     const auto reached = history.reachedAt(position);
@@ -256,7 +256,36 @@
     const ServiceView *found = findService(service);
     if (found && found->primary && found->primaryEpoch == primaryEpoch
         && sample.requestedAt < permittedUntil_)
-        services_[service].positions.record(sample.requestedAt, sample.position);
+        recordPrimaryPosition(services_[service], sample);
+}
+
+void Gateway::recordPrimaryPosition(ServiceState &state, PositionHistory::Sample sample)
+{
+    state.positions.record(sample.requestedAt, sample.position);
+    if (!state.positionRequestedAt)
+        return;
+    state.positionRequestedAt.reset();
+    loop_.post([this, alive = alive_] {
+        if (*alive)
+            resumeSessions();
+    });
+}
+
+bool Gateway::awaitPosition(const ServiceName &service)
+{
+    const ServiceView *found = findService(service);
+    if (!found || !found->primary || !primariesPermitted())
+        return false;
+    ServiceState &state = services_[service];
+    if (state.positions.newestSample())
+        return false;
+    const TimePoint now = clock_.now();
+    if (!state.positionRequestedAt) {
+        state.positionRequestedAt = now;
+        queryStatus(service, *found->primary, {.verb = Verb::Status}, probeTimeout,
+                    [](const std::optional<ReplicationStatus> &) {});
+    }
+    return now - *state.positionRequestedAt < positionTimeout;
 }
 
 std::optional<Gateway::SessionId> Gateway::openSession(const std::string &database,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,7 +32,7 @@
     using ReachabilityHandler = std::function<void(std::vector<PrimaryReachability>)>;
     using SessionId = std::uint64_t;
 
-    Gateway(EventLoop &loop, const Clock &clock, EndpointDialer &dialer);
+    Gateway(EventLoop &loop, const Clock &clock, RandomSource &random, EndpointDialer &dialer);
     ~Gateway() override;
 
     /// Starts the periodic work. Every 100 ms the handler receives the state of all primaries.
@@ -73,6 +73,7 @@
     struct ServiceState
     {
         PositionHistory positions;
+        std::optional<TimePoint> positionRequestedAt; ///< while no position is known
         std::map<EndpointId, std::unique_ptr<ConnectionPool>> pools;
     };
 
@@ -82,11 +83,14 @@
     const ServiceView *findService(const ServiceName &service) const override;
     ConnectionPool *findPool(const ServiceName &service, const EndpointId &endpoint) override;
     const PositionHistory &positions(const ServiceName &service) override;
+    bool awaitPosition(const ServiceName &service) override;
     ReplicaLag &replicaLag(const EndpointId &endpoint) override;
     bool primariesPermitted() const override;
     TimePoint permissionExpiredAt() const override { return permittedUntil_; }
+    TimePoint firstViewAt() const override { return firstViewAt_; }
 
     void updatePools(const ServiceView &service, ServiceState &state);
+    void recordPrimaryPosition(ServiceState &state, PositionHistory::Sample sample);
     void recordPosition(const ServiceName &service, const EndpointId &endpoint,
                         TimePoint requestedAt, TermPosition position);
     void forEachSession(const std::function<void(CallerSession &)> &function);
@@ -97,9 +101,12 @@
 
     EventLoop &loop_;
     const Clock &clock_;
+    RandomSource &random_;
     EndpointDialer &dialer_;
+    TimePoint startedAt_;
     std::shared_ptr<const DeploymentView> view_ = std::make_shared<DeploymentView>();
     TimePoint permittedUntil_{};
+    TimePoint firstViewAt_{};
     std::map<ServiceName, ServiceState> services_;
     std::map<EndpointId, ReplicaLag> replicaLags_;
     std::unordered_map<SessionId, std::unique_ptr<CallerSession>> sessions_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -23,11 +23,16 @@
     virtual const ServiceView *findService(const ServiceName &service) const = 0;
     virtual ConnectionPool *findPool(const ServiceName &service, const EndpointId &endpoint) = 0;
     virtual const PositionHistory &positions(const ServiceName &service) = 0;
+    /// Whether a read should wait because the primary's position, which decides whether a replica
+    /// may serve it, is expected soon. Asks the primary for its position if nothing else does.
+    virtual bool awaitPosition(const ServiceName &service) = 0;
     virtual ReplicaLag &replicaLag(const EndpointId &endpoint) = 0;
     /// Whether this daemon may use the primaries of the view now.
     virtual bool primariesPermitted() const = 0;
     /// When the last permission to use them expired; meaningful only if they may not be used.
     virtual TimePoint permissionExpiredAt() const = 0;
+    /// When the first view of this daemon was published; it has had no permission before.
+    virtual TimePoint firstViewAt() const = 0;
 };
 
 } // namespace pistachiowood
--- a/src/gateway/read_choice.cpp
+++ b/src/gateway/read_choice.cpp
@@ -26,7 +26,8 @@
                          / static_cast<double>(std::max<std::size_t>(candidate.limit, 1));
     const double latency = static_cast<double>(candidate.latency.count()) * (1 + queue);
     const auto distance = std::min<std::size_t>(candidate.distance, distanceCostMs.size() - 1);
-    return latency + distanceCostMs.at(distance) + (candidate.primary ? primaryCostMs : 0);
+    return latency + static_cast<double>(candidate.connectDelay.count())
+           + distanceCostMs.at(distance) + (candidate.primary ? primaryCostMs : 0);
 }
 
 } // namespace
--- a/src/gateway/read_choice.h
+++ b/src/gateway/read_choice.h
@@ -18,6 +18,7 @@
     bool expectedFresh = false; ///< expected to hold the position that the read needs
     unsigned distance = 0; ///< 0 own zone, 1 own region, 2 another region
     Milliseconds latency{0}; ///< smoothed time from statement to reply
+    Milliseconds connectDelay{0}; ///< expected time to open a connection; 0 if one is open
     std::size_t inUse = 0; ///< connections of this daemon in use
     std::size_t waiting = 0; ///< statements of this daemon that wait for a connection
     std::size_t limit = 1; ///< connections in this daemon's share
