--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -15,6 +15,7 @@
 constexpr int drainDelayDivisor = 3; // draining starts within a third of the grace period
 // The daemon stops this long before the end of the grace period, so that it is not killed.
 constexpr Milliseconds exitReserve{500};
+constexpr Milliseconds lastRepliesDelay{150}; // for sending the replies to abandoned statements
 constexpr Milliseconds drainPollInterval{50};
 constexpr Milliseconds readinessUpdateInterval{50};
 
@@ -108,8 +109,11 @@
                            [this] { traffic.post([this] { gateway.abortTransactions(); }); });
         control.startTimer(std::max(settings.gracePeriod - exitReserve, settings.gracePeriod / 2),
                            [this] {
-                               traffic.stop();
-                               control.stop();
+                               traffic.post([this] { gateway.abandonStatements(); });
+                               control.startTimer(lastRepliesDelay, [this] {
+                                   traffic.stop();
+                                   control.stop();
+                               });
                            });
     }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -45,6 +45,8 @@
     /// Aborts an open transaction and closes the session, after the running statement if there is
     /// one.
     void abortTransactionAndClose();
+    /// Answers the running statement with what is known of it and closes the session.
+    void abandonStatementAndClose();
 
     void handleConnectionGranted(PooledConnection &connection) override;
     void handleConnectionRefused(ConnectionFailure failure) override;
--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -483,6 +483,15 @@
                                       {"elapsed_ms", elapsed.count()}});
 }
 
+void CallerSession::abandonStatementAndClose()
+{
+    abortRequested_ = true;
+    queuedStatements_.clear();
+    if (execution_)
+        handleTimeout();
+    channel_.terminate();
+}
+
 void CallerSession::failStatement(ReplyCode code, const std::string &message)
 {
     logFailure(code, message);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -407,4 +407,9 @@
     forEachSession([](CallerSession &session) { session.abortTransactionAndClose(); });
 }
 
+void Gateway::abandonStatements()
+{
+    forEachSession([](CallerSession &session) { session.abandonStatementAndClose(); });
+}
+
 } // namespace pistachiowood
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,8 @@
     /// Aborts open transactions, after the running statement if there is one, and closes the
     /// sessions.
     void abortTransactions();
+    /// Answers all running statements with what is known of them and closes the sessions.
+    void abandonStatements();
 
 private:
     class StatusQuery;
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -523,3 +523,26 @@
     LONGS_EQUAL(1, repliesAfter(makeStatement(Verb::Write)));
     CHECK_TRUE(channel.replies.back().failure == ReplyCode::Busy);
 }
+
+// Guards against a planned stop that cuts the statements which still run at its end: their callers
+// learn what is known of them.
+TEST(Gateway, runningStatementsAreAnsweredAtTheEndOfAPlannedStop)
+{
+    open("strict");
+    endpoints.silent.insert(primary);
+    LONGS_EQUAL(0, repliesAfter(makeStatement(Verb::Write)));
+    RecordingChannel waitingChannel;
+    endpoints.silentDials.insert(primary);
+    const auto waiting = *gateway->openSession("strict", waitingChannel);
+    gateway->handleStatement(waiting, makeStatement(Verb::Write));
+    runLoopFor();
+    gateway->startDrain();
+    gateway->abandonStatements();
+    LONGS_EQUAL(1, channel.replies.size());
+    CHECK_TRUE(channel.replies.back().failure == ReplyCode::Unknown);
+    CHECK_TRUE(channel.closed);
+    LONGS_EQUAL(1, waitingChannel.replies.size());
+    CHECK_TRUE(waitingChannel.replies.back().failure == ReplyCode::Busy);
+    LONGS_EQUAL(1, endpoints.countSent(Verb::Write));
+    gateway->closeSession(waiting);
+}
