--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -420,7 +420,7 @@
     health.open = connections_.size();
     health.waiting = waiters_.size();
     health.limit = budget_.share();
-    if (countInState(PooledConnection::State::Idle) == 0 && !hasEstablishedConnection()) {
+    if (!hasEstablishedConnection()) {
         const auto pause =
             std::chrono::ceil<Milliseconds>(budget_.dialBlockedUntil() - clock_.now());
         health.connectDelay = std::max(pause, Milliseconds(0))
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -41,7 +41,7 @@
     std::size_t inUse = 0;
     std::size_t waiting = 0;
     std::size_t limit = 0; ///< connections in this daemon's share
-    Milliseconds connectDelay{0}; ///< expected time to open one more; 0 if one is idle
+    Milliseconds connectDelay{0}; ///< expected time to open the first one; 0 if one is open
 };
 
 /// One connection of a pool. At most one user has it at a time.
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -56,6 +56,14 @@
         session = *gateway->openSession(database, channel);
     }
 
+    void openBeforePermission()
+    {
+        auto view = makeView(1, primary);
+        view->configurationVersion = 1;
+        gateway->setView(view);
+        session = *gateway->openSession("strict", channel);
+    }
+
     // Runs the event loop for this real time. The manual clock of the gateway does not advance.
     void runLoopFor(Milliseconds time = 5ms)
     {
@@ -499,10 +507,7 @@
 // a stop of all daemons 2,194 statements were refused without a wait.
 TEST(Gateway, statementWaitsForTheFirstPermissionAfterTheStart)
 {
-    auto view = makeView(1, primary);
-    view->configurationVersion = 1;
-    gateway->setView(view);
-    session = *gateway->openSession("strict", channel);
+    openBeforePermission();
     clock.advance(400ms);
     LONGS_EQUAL(0, repliesAfter(makeStatement(Verb::Write)));
     gateway->permitPrimaries(clock.now() + 2s);
@@ -515,10 +520,7 @@
 // caller.
 TEST(Gateway, startedDaemonWithoutPermissionRefusesAtOnceAfterAWhile)
 {
-    auto view = makeView(1, primary);
-    view->configurationVersion = 1;
-    gateway->setView(view);
-    session = *gateway->openSession("strict", channel);
+    openBeforePermission();
     clock.advance(1600ms);
     LONGS_EQUAL(1, repliesAfter(makeStatement(Verb::Write)));
     CHECK_TRUE(channel.replies.back().failure == ReplyCode::Busy);
