--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -63,6 +63,13 @@
     EVENT(ConfigurationRelisted, 1706, Info, "watch position is too old; listing again")                   \
     EVENT(ConfigurationFromPeer, 1707, Info, "configuration taken from a peer")                            \
     EVENT(ChangeUndetermined, 1708, Warning, "result of a configuration change is not known")              \
+    EVENT(StoreRestored, 1709, Warning,                                                                    \
+          "platform's store came back from an older copy of its state")                                    \
+    EVENT(ListOutdated, 1710, Warning,                                                                     \
+          "list of the store is older than the local copy and was ignored")                                \
+    EVENT(PeerCopyApplied, 1711, Debug, "copy from a peer applied")                                        \
+    EVENT(StoreCallsCounted, 1712, Info,                                                                   \
+          "calls to the platform's store since the last such event")                                       \
     EVENT(                                                                                                 \
         AdministrationOpen, 1800, Warning,                                                                 \
         "no administration credentials are configured; every request is allowed; listen on loopback only") \
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -40,6 +41,11 @@
     unsigned status = 200;
     std::string body;
     std::string contentType = "application/json";
+    /// Further headers, as name and value. A received response holds all of its headers.
+    std::vector<std::pair<std::string, std::string>> headers;
+
+    /// Value of the header; nullptr if the response has none. Ignores the case of the name.
+    const std::string *findHeader(std::string_view name) const;
 };
 
 /// Limits of a server. A request that is too large, or a connection too many, gets an error
--- a/src/net/http_codec.cpp
+++ b/src/net/http_codec.cpp
@@ -3,12 +3,14 @@
 #include "base/address.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace pistachiowood {
@@ -72,6 +74,14 @@
 
 } // namespace
 
+const std::string *HttpResponse::findHeader(std::string_view name) const
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const auto &header) {
+        return beast::iequals(header.first, name);
+    });
+    return found == headers.end() ? nullptr : &found->second;
+}
+
 struct HttpRequestParser::Private
 {
     explicit Private(const HttpLimits &httpLimits)
@@ -160,6 +170,8 @@
     response.status = message.result_int();
     response.body = std::move(message.body());
     response.contentType = std::string(message[http::field::content_type]);
+    for (const auto &field : message)
+        response.headers.emplace_back(field.name_string(), field.value());
     private_->reset();
     return response;
 }
@@ -194,6 +206,8 @@
 {
     http::response<http::string_body> message(http::int_to_status(response.status), 11);
     message.set(http::field::content_type, response.contentType);
+    for (const auto &[name, value] : response.headers)
+        message.set(name, value);
     message.keep_alive(keepAlive);
     message.body() = response.body;
     message.prepare_payload();
--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -153,3 +153,18 @@
     CHECK_EQUAL(200, std::get<HttpResponse>(outcome).status);
     CHECK_FALSE(connection.isOpen());
 }
+
+// Guards against a client that cannot tell which state of the platform's store has answered.
+TEST(Http, responseHeadersReachTheCaller)
+{
+    HttpServer server(loop, {}, [](const HttpRequest &, const HttpServer::Responder &respond) {
+        respond({.body = "{}", .headers = {{"Store-Age", "7"}}});
+    });
+    CHECK_TRUE(!!server.listen(anyPort));
+    HttpConnection connection(loop, {"127.0.0.1", server.port()});
+    const auto outcome = exchange(connection, {}, Milliseconds(5000));
+    const auto &response = std::get<HttpResponse>(outcome);
+    CHECK_TRUE(response.findHeader("store-age") != nullptr);
+    STRCMP_EQUAL("7", response.findHeader("store-age")->c_str());
+    CHECK_TRUE(response.findHeader("store") == nullptr);
+}
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -91,8 +91,14 @@
             continue;
         }
         const auto &configuration = std::get<DeploymentConfiguration>(decoded);
-        if (context_.configuration && configuration.version <= context_.configuration->version)
+        if (context_.configuration && configuration.version <= context_.configuration->version) {
+            if (configuration.version < context_.configuration->version)
+                logEvent(Event::ConfigurationRefused,
+                         {{"version", configuration.version},
+                          {"in_force", context_.configuration->version},
+                          {"revision", item.version.value()}});
             continue;
+        }
         context_.configuration = configuration;
         logEvent(Event::ConfigurationApplied, {{"version", configuration.version}});
         scheduleView();
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -111,6 +111,12 @@
     listNeeded_ = false;
     const bool first = !loaded_;
     const auto &snapshot = std::get<GroupSnapshot>(outcome);
+    if (!first && snapshot.version < version_) {
+        logEvent(Event::ListOutdated, {{"group", groupName(group_)},
+                                       {"revision", snapshot.version.value()},
+                                       {"copy_revision", version_.value()},
+                                       {"items", snapshot.items.size()}});
+    }
     if (applySnapshot(snapshot) || first)
         loaded_ = true;
     if (snapshot.version >= version_)
@@ -192,6 +198,8 @@
 void GroupFeed::handleFailure(StoreFailure failure)
 {
     if (failure == StoreFailure::HistoryGone) {
+        logEvent(Event::ConfigurationRelisted,
+                 {{"group", groupName(group_)}, {"revision", version_.value()}});
         listNeeded_ = true;
         list();
         return;
@@ -263,6 +271,18 @@
 }
 
 void GroupFeed::applyCopy(const GroupCopy &copy)
+{
+    const ResourceVersion before = contentVersion_;
+    applyPeerItems(copy);
+    if (contentVersion_ != before && isLogged(Event::PeerCopyApplied)) {
+        logEvent(Event::PeerCopyApplied, {{"group", groupName(group_)},
+                                          {"revision", contentVersion_.value()},
+                                          {"former_revision", before.value()},
+                                          {"items", copy.items.size()}});
+    }
+}
+
+void GroupFeed::applyPeerItems(const GroupCopy &copy)
 {
     if (!copy.since) {
         applySnapshot({copy.version, copy.items});
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -65,6 +65,7 @@
 
 private:
     void list();
+    void applyPeerItems(const GroupCopy &copy);
     bool applySnapshot(const GroupSnapshot &snapshot);
     bool raiseContentVersion(ResourceVersion version);
     bool peerLacks(ResourceVersion known, const StoredItem &item) const;
