--- a/tests/system/platform_fakes.py
+++ b/tests/system/platform_fakes.py
@@ -6,10 +6,16 @@
 
 
 class Store:
-    """Objects with revisions, watches and conditional changes over HTTP."""
+    """Objects with revisions, watches and conditional changes over HTTP.
+
+    restore() brings back an earlier state, as a store does that was restored from a copy: later changes are lost,
+    their revisions are given out again, and the era rises.
+    """
 
     def __init__(self):
         self.rev = 10
+        self.era = 1
+        self.calls = 0
         self.objects = {}
         self.events = []
         self.changed = asyncio.Condition()
@@ -31,6 +37,16 @@
             item["meta"]["rev"] = self.rev
             self.record(kind, item, True)
 
+    def checkpoint(self):
+        """State that restore() takes."""
+        return self.rev, json.loads(json.dumps([[*key, item] for key, item in self.objects.items()]))
+
+    def restore(self, checkpoint):
+        self.rev, items = checkpoint
+        self.objects = {(kind, name): item for kind, name, item in json.loads(json.dumps(items))}
+        self.events = [event for event in self.events if event[0] <= self.rev]
+        self.era += 1
+
     def record(self, kind, item, deleted):
         self.events.append((self.rev, kind, {"object": json.loads(json.dumps(item)), "deleted": deleted}))
         asyncio.ensure_future(self.notify())
@@ -55,10 +71,11 @@
                     if header.lower().startswith("content-length:"):
                         length = int(header.split(":")[1])
                 body = json.loads(await reader.readexactly(length)) if length else {}
+                self.calls += 1
                 status, answer = (503, {}) if self.down else await self.handle(method, target, body)
                 text = json.dumps(answer).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                             % (status, len(text)) + text)
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
+                             b"Content-Length: %d\r\n\r\n" % (status, self.era, len(text)) + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -72,6 +89,8 @@
         kind, _, name = path.removeprefix("/api/objects/").partition("/")
         known = self.objects.get((kind, name))
         if method == "GET" and "watch" in parameters:
+            if int(parameters["watch"]) > self.rev:
+                return 410, {}
             return 200, await self.watch(kind, int(parameters["watch"]), int(parameters["wait_ms"]) / 1000)
         if method == "GET":
             items = [item for (other, _), item in self.objects.items() if other == kind]
