--- a/src/gateway/deployment.h
+++ b/src/gateway/deployment.h
@@ -87,7 +87,6 @@
 struct DeploymentView
 {
     std::uint64_t configurationVersion = 0;
-    std::uint64_t recordsVersion = 0; ///< version of the service records that this view reflects
     std::map<std::string, DatabaseRoute> routes; ///< by database
     std::map<ServiceName, ServiceView> services;
     Milliseconds transactionIdleTimeout{3000};
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -53,6 +53,10 @@
   version @2 :UInt64;
   operationId @3 :Text;
   json @4 :Text;
+  # Era of the version, and position in the writer's own count.
+  era @5 :UInt64;
+  incarnation @6 :UInt64;
+  change @7 :UInt64;
 }
 
 struct ConfigurationSnapshot {
@@ -121,6 +125,10 @@
   since @4 :UInt64;
   # Names of the objects that were removed after version `since`.
   removed @5 :List(Text);
+  # Era of the store to which `version` and `since` belong.
+  era @6 :UInt64;
+  # Objects of earlier eras that the store has lost.
+  carried @7 :List(StoredObject);
 }
 
 # Reachability of one primary as seen by the sender; a negative age means never.
@@ -157,6 +165,14 @@
   # Time since the store confirmed the sender's records, directly or through a peer; negative means
   # never.
   storeConfirmedAgeMs @8 :Int64;
+  # Eras of `versions`, in the same order.
+  eras @9 :List(UInt64);
+  # Digests of the objects that the sender keeps from earlier eras, in the same order.
+  carriedDigests @10 :List(UInt64);
+  # Era of `obeyedRecords`.
+  obeyedEra @11 :UInt64;
+  # Newest era of which the sender, in this run and as a member, held the complete records.
+  confirmedEra @12 :UInt64;
 }
 
 interface Peer {
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -157,7 +157,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3f96d9e4d1e4c18, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d3f96d9e4d1e4c18, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -432,7 +432,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88445ca53c02dd47, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(88445ca53c02dd47, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(962558a1e02a3998, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(962558a1e02a3998, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1172,6 +1172,12 @@
   inline bool hasJson() const;
   inline  ::capnp::Text::Reader getJson() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getChange() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1231,6 +1237,15 @@
   inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownJson();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getChange();
+  inline void setChange( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2731,6 +2746,11 @@
   inline bool hasRemoved() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline bool hasCarried() const;
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getCarried() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2786,6 +2806,16 @@
   inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool hasCarried();
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getCarried();
+  inline void setCarried( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initCarried(unsigned int size);
+  inline void adoptCarried(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownCarried();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2972,6 +3002,16 @@
 
   inline  ::int64_t getStoreConfirmedAgeMs() const;
 
+  inline bool hasEras() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEras() const;
+
+  inline bool hasCarriedDigests() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCarriedDigests() const;
+
+  inline  ::uint64_t getObeyedEra() const;
+
+  inline  ::uint64_t getConfirmedEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3044,6 +3084,28 @@
   inline  ::int64_t getStoreConfirmedAgeMs();
   inline void setStoreConfirmedAgeMs( ::int64_t value);
 
+  inline bool hasEras();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEras();
+  inline void setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEras(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEras(unsigned int size);
+  inline void adoptEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEras();
+
+  inline bool hasCarriedDigests();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCarriedDigests();
+  inline void setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCarriedDigests(unsigned int size);
+  inline void adoptCarriedDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCarriedDigests();
+
+  inline  ::uint64_t getObeyedEra();
+  inline void setObeyedEra( ::uint64_t value);
+
+  inline  ::uint64_t getConfirmedEra();
+  inline void setConfirmedEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4138,6 +4200,48 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StoredObject::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredObject::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoredObject::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoredObject::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredObject::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoredObject::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoredObject::Reader::getChange() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredObject::Builder::getChange() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StoredObject::Builder::setChange( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigurationSnapshot::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5322,6 +5426,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t GroupCopy::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupCopy::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupCopy::Reader::hasCarried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupCopy::Builder::hasCarried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getCarried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getCarried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GroupCopy::Builder::setCarried( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initCarried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GroupCopy::Builder::adoptCarried(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownCarried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool PrimaryReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5684,6 +5836,110 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::hasEras() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasEras() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasCarriedDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasCarriedDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getCarriedDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getCarriedDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initCarriedDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptCarriedDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownCarriedDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getObeyedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getObeyedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setObeyedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getConfirmedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getConfirmedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfirmedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -25,36 +25,55 @@
     return Milliseconds(milliseconds);
 }
 
+void encodeItem(const StoredItem &item, wire::StoredObject::Builder builder)
+{
+    builder.setName(encodeText(item.name));
+    builder.setVersion(item.version.stored.revision.value());
+    builder.setEra(item.version.stored.era.value());
+    builder.setIncarnation(item.version.written.incarnation);
+    builder.setChange(item.version.written.change);
+    builder.setJson(encodeText(item.text));
+}
+
+StoredItem decodeItem(wire::StoredObject::Reader reader)
+{
+    return {decodeText(reader.getName()),
+            {{StoreEra(reader.getEra()), ResourceVersion(reader.getVersion())},
+             {reader.getIncarnation(), reader.getChange()}},
+            decodeText(reader.getJson())};
+}
+
 void encodeCopy(const GroupCopy &copy, wire::GroupCopy::Builder builder)
 {
-    builder.setVersion(copy.version.value());
+    builder.setVersion(copy.version.revision.value());
+    builder.setEra(copy.version.era.value());
     builder.setPresent(true);
     builder.setPartial(copy.since.has_value());
     if (copy.since)
-        builder.setSince(copy.since->value());
+        builder.setSince(copy.since->revision.value());
     auto removed = builder.initRemoved(static_cast<unsigned>(copy.removed.size()));
     for (unsigned i = 0; i < removed.size(); ++i)
         removed.set(i, encodeText(copy.removed.at(i)));
     auto items = builder.initItems(static_cast<unsigned>(copy.items.size()));
-    for (unsigned i = 0; i < items.size(); ++i) {
-        const StoredItem &item = copy.items.at(i);
-        items[i].setName(encodeText(item.name));
-        items[i].setVersion(item.version.value());
-        items[i].setJson(encodeText(item.text));
-    }
+    for (unsigned i = 0; i < items.size(); ++i)
+        encodeItem(copy.items.at(i), items[i]);
+    auto carried = builder.initCarried(static_cast<unsigned>(copy.carried.size()));
+    for (unsigned i = 0; i < carried.size(); ++i)
+        encodeItem(copy.carried.at(i), carried[i]);
 }
 
 GroupCopy decodeCopy(ObjectGroup group, wire::GroupCopy::Reader reader)
 {
-    GroupCopy copy{.group = group, .version = ResourceVersion(reader.getVersion())};
+    const StoreEra era(reader.getEra());
+    GroupCopy copy{.group = group, .version = {era, ResourceVersion(reader.getVersion())}};
     if (reader.getPartial())
-        copy.since = ResourceVersion(reader.getSince());
+        copy.since = StoreVersion{era, ResourceVersion(reader.getSince())};
     for (const auto name : reader.getRemoved())
         copy.removed.push_back(decodeText(name));
-    for (const auto item : reader.getItems()) {
-        copy.items.push_back({decodeText(item.getName()), ResourceVersion(item.getVersion()),
-                              decodeText(item.getJson())});
-    }
+    for (const auto item : reader.getItems())
+        copy.items.push_back(decodeItem(item));
+    for (const auto item : reader.getCarried())
+        copy.carried.push_back(decodeItem(item));
     return copy;
 }
 
@@ -62,11 +81,19 @@
 {
     builder.setVm(encodeText(report.vm.value()));
     auto versions = builder.initVersions(objectGroupCount);
-    for (unsigned i = 0; i < objectGroupCount; ++i)
-        versions.set(i, report.versions.at(i).value());
-    builder.setObeyedRecords(report.appliedRecords.value());
+    auto eras = builder.initEras(objectGroupCount);
+    auto digests = builder.initCarriedDigests(objectGroupCount);
+    for (unsigned i = 0; i < objectGroupCount; ++i) {
+        const ReplicaState &replica = report.replicas.at(i);
+        versions.set(i, replica.content.revision.value());
+        eras.set(i, replica.content.era.value());
+        digests.set(i, replica.carried);
+    }
+    builder.setObeyedRecords(report.appliedRecords.revision.value());
+    builder.setObeyedEra(report.appliedRecords.era.value());
     builder.setConfirmedAgeMs(encodeAge(report.confirmedAge));
     builder.setStoreConfirmedAgeMs(encodeAge(report.storeConfirmedAge));
+    builder.setConfirmedEra(report.confirmedEra.value());
     builder.setPromise(report.promise);
     builder.setWantsConfiguration(report.wantsConfiguration);
     auto primaries = builder.initPrimaries(static_cast<unsigned>(report.primaries.size()));
@@ -95,11 +122,19 @@
     PeerReport report;
     report.vm = VmId(decodeText(reader.getVm()));
     const auto versions = reader.getVersions();
-    for (unsigned i = 0; i < versions.size() && i < objectGroupCount; ++i)
-        report.versions.at(i) = ResourceVersion(versions[i]);
-    report.appliedRecords = ResourceVersion(reader.getObeyedRecords());
+    const auto eras = reader.getEras();
+    const auto digests = reader.getCarriedDigests();
+    for (unsigned i = 0; i < versions.size() && i < objectGroupCount; ++i) {
+        // Daemons of earlier versions send neither eras nor digests.
+        report.replicas.at(i) = {
+            {StoreEra(i < eras.size() ? eras[i] : 0), ResourceVersion(versions[i])},
+            i < digests.size() ? digests[i] : 0};
+    }
+    report.appliedRecords = {StoreEra(reader.getObeyedEra()),
+                             ResourceVersion(reader.getObeyedRecords())};
     report.confirmedAge = decodeAge(reader.getConfirmedAgeMs());
     report.storeConfirmedAge = decodeAge(reader.getStoreConfirmedAgeMs());
+    report.confirmedEra = StoreEra(reader.getConfirmedEra());
     report.promise = reader.getPromise();
     report.wantsConfiguration = reader.getWantsConfiguration();
     for (const auto primary : reader.getPrimaries()) {
--- a/src/rpc/peer_rpc_test.cpp
+++ b/src/rpc/peer_rpc_test.cpp
@@ -1,4 +1,5 @@
 #include "rpc/peer_rpc.h"
+#include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -74,6 +75,33 @@
     }
 };
 
+// Guards against a receiver that takes versions of one era of the store for those of another, or
+// loses objects that the sender kept.
+TEST(PeerRpc, erasAndCarriedObjectsAreLostOnTheWay)
+{
+    PeerRpc server(loop, [](const PeerReport &) {
+        PeerReport report;
+        report.replicas.at(2) = {storeVersion(7, 3), 99};
+        report.appliedRecords = storeVersion(6, 3);
+        report.confirmedEra = StoreEra(2);
+        report.copies.push_back({.group = ObjectGroup::Records,
+                                 .version = storeVersion(7, 3),
+                                 .since = storeVersion(5, 3),
+                                 .carried = {storedItem("a", storeVersion(4, 2), 8)}});
+        return report;
+    });
+    CHECK_TRUE(!!server.listen({"127.0.0.1", 0}));
+    PeerRpc caller(loop, [](const PeerReport &report) { return report; });
+    CHECK_TRUE(!!caller.listen({"127.0.0.1", 0}));
+    CHECK_TRUE(exchange(caller, server.port()));
+    CHECK_TRUE((answer->replicas.at(2) == ReplicaState{storeVersion(7, 3), 99}));
+    CHECK_TRUE(answer->appliedRecords == storeVersion(6, 3));
+    CHECK_TRUE(answer->confirmedEra == StoreEra(2));
+    const GroupCopy &copy = answer->copies.front();
+    CHECK_TRUE(copy.since == storeVersion(5, 3));
+    CHECK_TRUE((copy.carried.front().version == ItemVersion{storeVersion(4, 2), {0, 8}}));
+}
+
 // Guards against a daemon that accepts no peer any more after a moment without free descriptors: it
 // lost its confirmations until it was restarted.
 TEST(PeerRpc, peersAreAcceptedAgainAfterDescriptorShortage)
--- a/src/takeover/fleet_context.cpp
+++ b/src/takeover/fleet_context.cpp
@@ -1,5 +1,7 @@
 #include "takeover/fleet_context.h"
 
+#include "takeover/records.h"
+
 namespace pistachiowood {
 
 namespace {
@@ -15,13 +17,14 @@
     std::vector<GroupCopy> copies;
     for (std::size_t i = 0; i < objectGroupCount; ++i) {
         const GroupFeed &source = *feeds.at(i);
-        const ResourceVersion known = peer.versions.at(i);
-        if (!source.loaded() || source.contentVersion() <= known)
+        const ReplicaState &known = peer.replicas.at(i);
+        const GroupReplica &own = source.replica();
+        if (!own.isAheadOf(known))
             continue;
         const bool onlyIfSmall =
             static_cast<ObjectGroup>(i) == ObjectGroup::Configuration && !peer.wantsConfiguration;
-        if (!onlyIfSmall || source.copySize(known) <= smallConfigurationBytes)
-            copies.push_back(source.copyFor(known));
+        if (!onlyIfSmall || own.copySize(known) <= smallConfigurationBytes)
+            copies.push_back(own.copyFor(known));
     }
     return copies;
 }
@@ -32,18 +35,32 @@
         feed(copy.group).applyCopy(copy);
 }
 
-void FleetContext::putRecord(const std::string &name, std::optional<ResourceVersion> expected,
-                             const std::string &text,
-                             std::function<void(const StoreOutcome<ResourceVersion> &)> callback)
+std::uint64_t FleetContext::nextGeneration(const std::string &name) const
+{
+    return records().replica().lastChangeOf(name).change + 1;
+}
+
+void FleetContext::putRecord(const std::string &name, std::optional<StoreVersion> expected,
+                             const std::string &text, RecordCallback callback)
 {
+    const StoreEra era = records().version().era;
+    const WriterCount written{0, recordGeneration(text)};
     store.putRecord(name, expected, text, recordWriteTimeout,
-                    [this, alive = alive, name, text,
-                     callback = std::move(callback)](const StoreOutcome<ResourceVersion> &outcome) {
+                    [this, alive = alive, era, name, written, text,
+                     callback = std::move(callback)](const StoreOutcome<StoreVersion> &outcome) {
                         if (!*alive)
                             return;
-                        if (const auto *version = std::get_if<ResourceVersion>(&outcome))
-                            records().applyOwnChange({name, *version, text});
-                        callback(outcome);
+                        const auto *version = std::get_if<StoreVersion>(&outcome);
+                        if (!version) {
+                            callback(outcome);
+                        } else if (version->era != era || records().version().era != era) {
+                            // The store was restored meanwhile: the condition may have held by
+                            // chance, or the change may be lost.
+                            callback(StoreFailure::NoAnswer);
+                        } else {
+                            records().applyOwnChange({name, {*version, written}, text});
+                            callback(outcome);
+                        }
                     });
 }
 
--- a/src/takeover/fleet_context.h
+++ b/src/takeover/fleet_context.h
@@ -70,21 +70,31 @@
     std::array<std::unique_ptr<GroupFeed>, objectGroupCount> feeds;
     std::optional<DeploymentConfiguration> configuration;
     std::map<EndpointId, EndpointEntry> endpoints;
+    std::optional<StoreEra> recoveredEra; ///< newest era whose records are complete
     /// False once the FleetControl is destroyed; checked by callbacks that may run later.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    using RecordCallback = std::function<void(const StoreOutcome<StoreVersion> &)>;
+
     GroupFeed &feed(ObjectGroup group) const { return *feeds.at(static_cast<std::size_t>(group)); }
     GroupFeed &records() const { return feed(ObjectGroup::Records); }
+    /// Whether the records are complete, in particular after the store was restored.
+    bool recordsRecovered() const
+    {
+        return records().loaded() && recoveredEra == records().version().era;
+    }
     /// Returns copies of the groups of which the peer has an older version. Leaves out a large
     /// configuration unless the peer requests it.
     std::vector<GroupCopy> copiesFor(const PeerReport &peer) const;
     /// Passes copies from a peer to the feeds of their groups.
     void applyCopies(const std::vector<GroupCopy> &copies) const;
     /// Writes a record to the store. The local copy holds an accepted change before the callback
-    /// runs. The callback does not run after the FleetControl is destroyed.
-    void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
-                   const std::string &text,
-                   std::function<void(const StoreOutcome<ResourceVersion> &)> callback);
+    /// runs. A change of which it is not known whether the store has kept it is reported as
+    /// unanswered. The callback does not run after the FleetControl is destroyed.
+    void putRecord(const std::string &name, std::optional<StoreVersion> expected,
+                   const std::string &text, RecordCallback callback);
+    /// Generation for the next change of the record.
+    std::uint64_t nextGeneration(const std::string &name) const;
 };
 
 /// Timeout of a write to a record.
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -13,6 +13,9 @@
 // detect a dead connection in the meantime.
 constexpr Milliseconds maxWatchWait{20000};
 constexpr Milliseconds viewPublishDelay{2}; // merges simultaneous changes into one view
+// After the store was restored, how long a missing registration proves nothing: endpoints register
+// again within two seconds.
+constexpr Milliseconds registrationReturnTime{2500};
 
 // Returns the decoded item, or logs the error and returns nullopt.
 template <typename Decode>
@@ -37,6 +40,7 @@
                         [this](TimePoint now) { return replacements_.mayPromise(now); },
                         [this] { replacements_.stepAnnounced(); }})
     , replacements_(context_, peers_)
+    , recovery_(context_, peers_, replacements_)
 {
     const auto makeFeed = [&](ObjectGroup group, GroupFeed::Handlers handlers) {
         context_.feeds.at(static_cast<std::size_t>(group)) = std::make_unique<GroupFeed>(
@@ -96,7 +100,7 @@
                 logEvent(Event::ConfigurationRefused,
                          {{"version", configuration.version},
                           {"in_force", context_.configuration->version},
-                          {"revision", item.version.value()}});
+                          {"revision", item.version.stored.revision.value()}});
             continue;
         }
         context_.configuration = configuration;
@@ -131,6 +135,7 @@
     std::map<VmId, DaemonRecord> members;
     std::map<VmId, DaemonRecord> removed;
     bool registered = false;
+    replacements_.enterEra(context_.records().version().era);
     for (const auto &stored : context_.records().items()) {
         const StoredItem &item = stored.second;
         switch (recordKindOf(item.name)) {
@@ -147,12 +152,17 @@
         case RecordKind::PromotionLease:
             if (const auto lease =
                     decodeItem([&] { return decodePromotionLeaseRecord(item.text); }, item))
-                replacements_.updateLeaseRecord(*lease, item.version);
+                replacements_.updateLeaseRecord(*lease, item.version.stored);
             break;
         case RecordKind::Primary:
             if (const auto record =
                     decodeItem([&] { return decodePrimaryRecord(item.text); }, item))
-                replacements_.updatePrimaryRecord(*record, item.version);
+                replacements_.updatePrimaryRecord(*record, item.version.stored);
+            break;
+        case RecordKind::RecoveredEra:
+            if (const auto record =
+                    decodeItem([&] { return decodeRecoveredEraRecord(item.text); }, item))
+                context_.recoveredEra = record->era;
             break;
         case RecordKind::Other:
             break;
@@ -160,6 +170,9 @@
     }
     peers_.setMembers(members, removed, registered);
     scheduleView();
+    // What was still kept of earlier eras was known to a minority of the daemons.
+    if (context_.recordsRecovered())
+        context_.records().dropCarried();
 }
 
 void FleetControl::scheduleView()
@@ -195,7 +208,6 @@
         return;
     auto view = std::make_shared<DeploymentView>();
     view->configurationVersion = context_.configuration->version;
-    view->recordsVersion = context_.records().version().value();
     view->transactionIdleTimeout = context_.configuration->transactionIdleTimeout;
     view->daemonCount = static_cast<unsigned>(peers_.members().otherCount() + 1);
     for (const DatabaseRoute &route : context_.configuration->routes)
@@ -217,18 +229,24 @@
             endpoint.acceptsStatementsUntil = since->second + context_.settings.drainLimit / 2;
     }
     ++viewsInFlight_;
-    context_.traffic.setView(view, [this, alive = context_.alive, version = view->recordsVersion] {
-        if (!*alive)
-            return;
-        --viewsInFlight_;
-        peers_.noteAppliedRecords(ResourceVersion(version));
-    });
+    context_.traffic.setView(
+        view, [this, alive = context_.alive, version = context_.records().version()] {
+            if (!*alive)
+                return;
+            --viewsInFlight_;
+            peers_.noteAppliedRecords(version);
+        });
 }
 
 void FleetControl::tick()
 {
-    peers_.tick(context_.clock.now());
+    const TimePoint now = context_.clock.now();
+    peers_.tick(now);
+    recovery_.tick();
     replacements_.tick();
+    if (GroupFeed &endpoints = context_.feed(ObjectGroup::Endpoints);
+        now - endpoints.eraSince() >= registrationReturnTime)
+        endpoints.dropMissing();
     context_.loop.startTimer(tickInterval, [this, alive = context_.alive] {
         if (*alive)
             tick();
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -3,6 +3,7 @@
 
 #include "takeover/fleet_context.h"
 #include "takeover/fleet_peers.h"
+#include "takeover/recovery_runner.h"
 #include "takeover/replacement_runner.h"
 
 #include <map>
@@ -46,6 +47,7 @@
     FleetContext context_;
     FleetPeers peers_;
     ReplacementRunner replacements_;
+    RecoveryRunner recovery_;
     std::map<EndpointId, TimePoint> drainingSince_; ///< when this daemon learned of the drain
     bool viewScheduled_ = false;
     unsigned viewsInFlight_ = 0; ///< sent to the traffic thread and not applied yet
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -1,4 +1,5 @@
 #include "takeover/fleet_control.h"
+#include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -33,15 +34,15 @@
         });
     }
 
-    void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
+    void watch(ObjectGroup group, StoreVersion from, Milliseconds wait, Milliseconds,
                Callback<GroupChanges> callback) override
     {
         ++watchCalls.at(static_cast<std::size_t>(group));
         const auto &items = groups.at(static_cast<std::size_t>(group));
         const bool changed = std::any_of(items.begin(), items.end(), [&](const auto &entry) {
-            return entry.second.version > from;
+            return entry.second.version.stored > from;
         });
-        if (wait < 1s || (changed && !down && !watchesStalled))
+        if (wait < 1s || ((changed || from > version) && !down && !watchesStalled))
             answerCheck(group, from, wait < 1s ? wait : 0s, std::move(callback));
         else if (down)
             loop.startTimer(1ms, [callback] { callback(StoreFailure::Refused); });
@@ -49,39 +50,44 @@
             watches.at(static_cast<std::size_t>(group)) = std::move(callback);
     }
 
-    void check(ObjectGroup group, ResourceVersion from, Milliseconds wait, Milliseconds,
+    void cancelWatch(ObjectGroup group) override
+    {
+        watches.at(static_cast<std::size_t>(group)) = nullptr;
+    }
+
+    void check(ObjectGroup group, StoreVersion from, Milliseconds wait, Milliseconds,
                Callback<GroupChanges> callback) override
     {
         ++checkCalls;
         answerCheck(group, from, wait, std::move(callback));
     }
 
-    void answerCheck(ObjectGroup group, ResourceVersion from, Milliseconds wait,
+    void answerCheck(ObjectGroup group, StoreVersion from, Milliseconds wait,
                      Callback<GroupChanges> callback)
     {
         loop.startTimer(down ? 1ms : wait / 10, [this, group, from, callback] {
-            if (down) {
-                callback(StoreFailure::Refused);
+            if (down || from.revision > version.revision) {
+                callback(down ? StoreFailure::Refused : StoreFailure::HistoryGone);
                 return;
             }
             GroupChanges changes{version, {}};
             for (const auto &[name, item] : groups.at(static_cast<std::size_t>(group))) {
-                if (item.version > from)
+                if (item.version.stored.revision > from.revision)
                     changes.changes.push_back({item, false});
             }
             callback(changes);
         });
     }
 
-    void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
-                   const std::string &text, Milliseconds,
-                   Callback<ResourceVersion> callback) override
+    void putRecord(const std::string &name, std::optional<StoreVersion> expected,
+                   const std::string &text, Milliseconds, Callback<StoreVersion> callback) override
     {
         loop.post([this, name, expected, text, callback] {
             const auto found = groups.at(2).find(name);
-            const bool matches = found == groups.at(2).end()
-                                     ? !expected
-                                     : expected && found->second.version == *expected;
+            const bool matches =
+                found == groups.at(2).end()
+                    ? !expected
+                    : expected && found->second.version.stored.revision == expected->revision;
             if (down || !matches) {
                 callback(down ? StoreFailure::Refused : StoreFailure::Conflict);
                 return;
@@ -91,8 +97,8 @@
         });
     }
 
-    void deleteRecord(const std::string &, ResourceVersion, Milliseconds,
-                      Callback<ResourceVersion> callback) override
+    void deleteRecord(const std::string &, StoreVersion, Milliseconds,
+                      Callback<StoreVersion> callback) override
     {
         callback(version);
     }
@@ -113,14 +119,39 @@
 
     void change(ObjectGroup group, const std::string &name, const std::string &text)
     {
-        version = ResourceVersion(version.value() + 1);
+        version.revision = ResourceVersion(version.revision.value() + 1);
         const auto index = static_cast<std::size_t>(group);
-        const StoredItem item{name, version, text};
+        const std::uint64_t change = group == ObjectGroup::Records ? recordGeneration(text) : 0;
+        const StoredItem item{name, {version, {0, change}}, text};
         groups.at(index)[name] = item;
         if (watchesStalled)
             return;
         if (auto callback = std::exchange(watches.at(index), nullptr))
-            loop.post([callback, item] { callback(GroupChanges{item.version, {{item, false}}}); });
+            loop.post([callback, item] {
+                callback(GroupChanges{item.version.stored, {{item, false}}});
+            });
+    }
+
+    struct Checkpoint
+    {
+        StoreVersion version;
+        std::array<std::map<std::string, StoredItem>, objectGroupCount> groups;
+    };
+
+    Checkpoint checkpoint() const { return {version, groups}; }
+
+    // Comes back from a copy of that state: in a new era, without later changes.
+    void restore(const Checkpoint &copy)
+    {
+        goDown();
+        down = false;
+        groups = copy.groups;
+        version.revision = copy.version.revision;
+        version.era = StoreEra(version.era.value() + 1);
+        for (auto &items : groups) {
+            for (auto &[name, item] : items)
+                item.version.stored.era = version.era;
+        }
     }
 
     // Makes the store refuse all calls, the waiting watches included.
@@ -134,7 +165,7 @@
     }
 
     EventLoop &loop;
-    ResourceVersion version{10};
+    StoreVersion version = storeVersion(10);
     std::array<std::map<std::string, StoredItem>, objectGroupCount> groups;
     std::array<Callback<GroupChanges>, objectGroupCount> watches;
     std::array<unsigned, objectGroupCount> watchCalls{};
@@ -177,12 +208,14 @@
             }
             PeerReport answer;
             answer.vm = VmId(name);
-            answer.versions = report.versions;
-            answer.appliedRecords = report.versions.at(2);
+            answer.replicas = report.replicas;
+            answer.appliedRecords = report.replicas.at(2).content;
             if (peerConfirms)
                 answer.confirmedAge = Milliseconds(0);
             answer.promise = report.promise && peerPromises;
-            answer.versions.at(0) = std::max(answer.versions.at(0), peerConfigurationVersion);
+            answer.confirmedEra = peerConfirmedEra;
+            StoreVersion &configuration = answer.replicas.at(0).content;
+            configuration = std::max(configuration, peerConfigurationVersion);
             configurationRequests += report.wantsConfiguration ? 1 : 0;
             callback(answer);
         });
@@ -224,8 +257,9 @@
     bool peerAnswers = true;
     bool peerPromises = true;
     std::set<std::string> unreachablePeers;
-    ResourceVersion peerConfigurationVersion; ///< newest one that peers hold
+    StoreVersion peerConfigurationVersion; ///< newest one that peers hold
     unsigned configurationRequests = 0; ///< exchanges with wantsConfiguration
+    StoreEra peerConfirmedEra;
     bool peerConfirms = false; ///< answers carry a confirmation of age 0
     std::optional<EndpointId> leader{EndpointId("p")};
     std::vector<std::pair<EndpointId, std::uint64_t>> promotions;
@@ -258,6 +292,8 @@
         settings.vm = VmId("self");
         settings.zone = ZoneName("z");
         settings.peerAddress = {"127.0.0.1", 8};
+        store.change(ObjectGroup::Records, recoveredEraRecordName(),
+                     encodeRecoveredEraRecord({store.version.era, 1}));
         // A member record of an earlier run, so that the daemon may announce replacements at once.
         store.change(
             ObjectGroup::Records, daemonRecordName(settings.vm),
@@ -282,6 +318,23 @@
         }
     }
 
+    // Another daemon has made the endpoint the primary.
+    void recordPrimary(const std::string &endpoint, std::uint64_t generation)
+    {
+        store.change(ObjectGroup::Records, primaryRecordName(ServiceName("db")),
+                     encodePrimaryRecord({.service = ServiceName("db"),
+                                          .primary = EndpointId(endpoint),
+                                          .changedBy = VmId("peer"),
+                                          .generation = generation}));
+    }
+
+    std::string recordInStore(const std::string &name)
+    {
+        const auto &records = store.groups.at(static_cast<std::size_t>(ObjectGroup::Records));
+        const auto found = records.find(name);
+        return found == records.end() ? std::string() : found->second.text;
+    }
+
     unsigned watchCalls(ObjectGroup group)
     {
         return store.watchCalls.at(static_cast<std::size_t>(group));
@@ -592,8 +645,83 @@
     start(true);
     runFor(300ms);
     store.down = true;
-    environment.peerConfigurationVersion = ResourceVersion(1000);
+    environment.peerConfigurationVersion = storeVersion(1000);
     runFor(4000ms);
     CHECK_TRUE(environment.configurationRequests >= 1);
     CHECK_TRUE(environment.configurationRequests <= 6);
 }
+
+// Guards against the use of a replaced primary, because the store lost the record of the new one.
+TEST(FleetControl, replacedPrimaryIsBackAfterARestore)
+{
+    environment.peerConfirmedEra = StoreEra(1);
+    start(true);
+    runFor(500ms);
+    const auto checkpoint = store.checkpoint();
+    recordPrimary("r", 9);
+    runFor(300ms);
+    CHECK_TRUE(service().primary == EndpointId("r"));
+    store.restore(checkpoint);
+    for (unsigned i = 0; i < 10; ++i) {
+        runFor(100ms);
+        CHECK_TRUE(service().primary == EndpointId("r"));
+    }
+    const std::string text = recordInStore(primaryRecordName(ServiceName("db")));
+    LONGS_EQUAL(9, recordGeneration(text));
+    CHECK_TRUE(environment.permittedUntil > clock.now());
+}
+
+// Guards against a permission, a replacement or the use of the primary on the word of a store that
+// may have lost an announcement, while the member that may know it does not answer.
+TEST(FleetControl, restoredStoreRenewsThePermissionBeforeItsRecordsAreComplete)
+{
+    environment.peerConfirmedEra = StoreEra(1);
+    start(true);
+    runFor(500ms);
+    environment.peerAnswers = false;
+    environment.leader = EndpointId("r"); // promoted by an order that the store has forgotten
+    store.restore(store.checkpoint());
+    runFor(3500ms);
+    CHECK_TRUE(environment.permittedUntil < clock.now());
+    LONGS_EQUAL(0, environment.promotions.size());
+    clock.shift += RecordsRecovery::leaseEndDelay;
+    runFor(300ms);
+    const auto record = capture(
+        [&] { return decodePrimaryRecord(recordInStore(primaryRecordName(ServiceName("db")))); });
+    CHECK_TRUE(std::get<PrimaryRecord>(record).replacing);
+    CHECK_FALSE(service().primary.has_value());
+}
+
+// Guards against a primary that is given up after a restore although its endpoints confirm it.
+TEST(FleetControl, confirmedPrimaryIsReplacedWhenNoMajorityRemembers)
+{
+    start(true); // the peer remembers nothing
+    runFor(500ms);
+    environment.peerAnswers = false;
+    store.restore(store.checkpoint());
+    runFor(100ms);
+    clock.shift += RecordsRecovery::leaseEndDelay;
+    runFor(1000ms);
+    CHECK_TRUE(service().primary == EndpointId("p"));
+    CHECK_TRUE(environment.permittedUntil > clock.now());
+    LONGS_EQUAL(0, environment.promotions.size());
+}
+
+// Guards against a daemon that has to wait like a new member, because the store lost the member
+// records: replacements then took up to 10.5 s.
+TEST(FleetControl, membersLostByTheStoreDelayTheNextReplacement)
+{
+    const auto empty = store.checkpoint();
+    environment.peerConfirmedEra = StoreEra(1);
+    start(true);
+    runFor(500ms);
+    passLongestLifetime();
+    auto checkpoint = store.checkpoint();
+    checkpoint.groups.at(static_cast<std::size_t>(ObjectGroup::Records)) = empty.groups.at(2);
+    store.restore(checkpoint);
+    runFor(1000ms);
+    CHECK_FALSE(recordInStore(daemonRecordName(VmId("peer"))).empty());
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    runFor(1500ms);
+    LONGS_EQUAL(1, environment.promotions.size());
+}
--- a/src/takeover/fleet_members.h
+++ b/src/takeover/fleet_members.h
@@ -37,7 +37,10 @@
     const Table &others() const { return others_; }
     bool contains(const VmId &vm) const { return others_.count(vm) > 0; }
     std::size_t otherCount() const { return others_.size(); }
+    /// Present and removed members, this daemon included.
+    std::size_t totalCount() const { return others_.size() + removed_.size() + 1; }
     bool registered() const { return registeredSince_.has_value(); }
+    std::optional<TimePoint> registeredSince() const { return registeredSince_; }
     /// Whether there are too many members for each to exchange reports with all others.
     bool isLarge() const;
     /// Whether this daemon has known the member records for the longest lifetime of a permission,
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -59,6 +59,9 @@
 
 void FleetPeers::confirmByStore(TimePoint at)
 {
+    // After the store was restored, it may lack announcements that are in force.
+    if (!context_.recordsRecovered())
+        return;
     noteStoreConfirmation(at);
     renewPermission(at);
 }
@@ -66,6 +69,8 @@
 void FleetPeers::noteStoreConfirmation(TimePoint at)
 {
     storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
+    if (context_.recordsRecovered() && members_.registered() && at >= *members_.registeredSince())
+        confirmedEra_ = context_.records().version().era;
 }
 
 void FleetPeers::renewPermission(TimePoint at)
@@ -114,7 +119,8 @@
         return;
     lapseLogged_ = !lapseLogged_;
     if (!lapseLogged_) {
-        logEvent(Event::PermissionRenewed, {{"records", context_.records().version().value()}});
+        logEvent(Event::PermissionRenewed,
+                 {{"records", context_.records().version().revision.value()}});
         return;
     }
     const auto answering =
@@ -153,7 +159,8 @@
 {
     const GroupFeed &records = context_.records();
     const bool outdated = permission_.confirmationOlderThan(peerQueryConfirmationAge, now);
-    if (recordsReachable_ && !records.failing() && !(outdated && records.loaded()))
+    const bool recovering = records.loaded() && !context_.recordsRecovered();
+    if (recordsReachable_ && !records.failing() && !(outdated && records.loaded()) && !recovering)
         return;
     const bool small = !members_.isLarge();
     const bool isCollector = small || promiseCollector() == context_.settings.vm;
@@ -176,11 +183,11 @@
 // fill the links while the store is unreachable and half of the fleet lacks it.
 void FleetPeers::fetchNewerConfiguration(TimePoint now)
 {
-    const ResourceVersion own = context_.feed(ObjectGroup::Configuration).contentVersion();
+    const GroupReplica &own = context_.feed(ObjectGroup::Configuration).replica();
     std::vector<VmId> holders;
     for (const auto &[vm, state] : peerStates_) {
         if (members_.contains(vm) && state.failures == 0 && state.report
-            && state.report->versions.at(configurationIndex) > own)
+            && own.isBehind(state.report->replicas.at(configurationIndex)))
             holders.push_back(vm);
     }
     if (holders.empty()) {
@@ -259,16 +266,15 @@
                                 && context_.clock.now() >= nextConfigurationFetch_;
     // Answers hold copies of every outdated group. Requests hold only the records, to spread
     // announcements.
-    const bool sendsRecords =
-        round == nullptr && state.report
-        && state.report->versions.at(recordsIndex) < context_.records().contentVersion();
-    if (sendsRecords)
-        report.copies.push_back(
-            context_.records().copyFor(state.report->versions.at(recordsIndex)));
+    const GroupReplica &records = context_.records().replica();
+    if (round == nullptr && state.report
+        && records.isAheadOf(state.report->replicas.at(recordsIndex)))
+        report.copies.push_back(records.copyFor(state.report->replicas.at(recordsIndex)));
     const TimePoint sentAt = context_.clock.now();
     context_.peers.exchange(
         address, report, exchangeTimeout,
-        [this, alive = context_.alive, vm, sentAt, round](const auto &outcome) {
+        [this, alive = context_.alive, vm, sentAt, sentEra = records.version().era,
+         round](const auto &outcome) {
             if (!*alive)
                 return;
             const auto *answer = std::get_if<PeerReport>(&outcome);
@@ -279,12 +285,56 @@
             if (!answer)
                 return;
             takeReport(*answer, sentAt, true);
+            const ReplicaState &peerRecords = answer->replicas.at(recordsIndex);
+            const GroupReplica &ownRecords = context_.records().replica();
+            // The answer holds what the peer carries and this daemon did not when it asked.
+            if (const auto known = peerStates_.find(vm); known != peerStates_.end()
+                                                         && peerRecords.content.era == sentEra
+                                                         && ownRecords.version().era == sentEra)
+                known->second.mergedEra = sentEra;
             hooks_.reportReceived();
-            if (round && answer->promise)
+            // A promise counts only if this daemon knows every announcement that the peer knows.
+            if (round && answer->promise && ownRecords.covers(peerRecords))
                 countPromise(*round);
         });
 }
 
+bool FleetPeers::hasMerged(const VmId &vm) const
+{
+    const auto state = peerStates_.find(vm);
+    return state != peerStates_.end() && state->second.report
+           && state->second.mergedEra == context_.records().version().era;
+}
+
+FormerRecords FleetPeers::formerRecords() const
+{
+    StoreEra former = confirmedEra_;
+    for (const auto &[vm, member] : members_.others()) {
+        if (hasMerged(vm))
+            former = std::max(former, peerStates_.at(vm).report->confirmedEra);
+    }
+    // Members that have held the complete records of the former era since they were started.
+    std::size_t remembering = 0;
+    if (former > StoreEra()) {
+        remembering = confirmedEra_ == former ? 1 : 0;
+        for (const auto &[vm, member] : members_.others()) {
+            const bool remembers =
+                hasMerged(vm) && peerStates_.at(vm).report->confirmedEra == former;
+            remembering += remembers ? 1 : 0;
+        }
+    }
+    const bool majority = 2 * remembering > members_.totalCount();
+    // Without a confirmation of that age, other daemons may have become members meanwhile.
+    const auto confirmed = permission_.confirmedAt();
+    const bool recent =
+        confirmed
+        && *confirmed >= context_.records().eraSince() - PrimaryPermission::longestLifetime;
+    if (remembering == members_.totalCount() || (majority && recent))
+        return FormerRecords::Complete;
+    const bool allHeard = members_.allMeet([this](const VmId &vm) { return hasMerged(vm); });
+    return majority || allHeard ? FormerRecords::Unconfirmed : FormerRecords::Incomplete;
+}
+
 // Renews the permission when enough members have promised. If all have, none of them announces a
 // replacement during the lifetime of the permission. If a majority has, a replacement can't get the
 // acknowledgements of half of the daemons, but it waits only longestLifetime for them; such
@@ -310,12 +360,13 @@
     PeerReport report;
     report.vm = context_.settings.vm;
     for (std::size_t i = 0; i < objectGroupCount; ++i)
-        report.versions.at(i) = context_.feeds.at(i)->contentVersion();
+        report.replicas.at(i) = context_.feeds.at(i)->replica().state();
     report.appliedRecords = appliedRecords_;
     if (const auto confirmed = permission_.confirmedAt())
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
     if (storeConfirmedAt_)
         report.storeConfirmedAge = std::chrono::ceil<Milliseconds>(now - *storeConfirmedAt_);
+    report.confirmedEra = confirmedEra_;
     for (const auto &[service, reachability] : ownReachability_)
         report.primaries.push_back(describePrimary(reachability, now));
     return report;
@@ -337,7 +388,7 @@
     }
     // The sender's confirmation holds for this daemon only if its records are as new as the
     // sender's.
-    if (!answer || context_.records().contentVersion() < report.versions.at(recordsIndex))
+    if (!answer || !context_.records().replica().covers(report.replicas.at(recordsIndex)))
         return;
     if (report.storeConfirmedAge)
         noteStoreConfirmation(sentAt - *report.storeConfirmedAge);
@@ -385,26 +436,27 @@
 bool FleetPeers::mayAnnounce(TimePoint now) const
 {
     const bool newMember = registeredAt_ && now - *registeredAt_ < newMemberAnnounceDelay;
-    return !promised(now) && (!newMember || members_.others().empty());
+    return context_.recordsRecovered() && !promised(now)
+           && (!newMember || members_.others().empty());
 }
 
-bool FleetPeers::hasApplied(const VmId &vm, ResourceVersion version) const
+bool FleetPeers::hasApplied(const VmId &vm, StoreVersion version) const
 {
     const auto state = peerStates_.find(vm);
     return state != peerStates_.end() && state->second.report
-           && state->second.report->appliedRecords >= version;
+           && state->second.report->appliedRecords.includes(version);
 }
 
-bool FleetPeers::allApplied(ResourceVersion version) const
+bool FleetPeers::allApplied(StoreVersion version) const
 {
-    return appliedRecords_ >= version
+    return appliedRecords_.includes(version)
            && members_.allMeet([&](const VmId &vm) { return hasApplied(vm, version); });
 }
 
-bool FleetPeers::halfApplied(ResourceVersion version) const
+bool FleetPeers::halfApplied(StoreVersion version) const
 {
     return members_.halfMeet(
-        appliedRecords_ >= version, [&](const VmId &vm) { return hasApplied(vm, version); },
+        appliedRecords_.includes(version), [&](const VmId &vm) { return hasApplied(vm, version); },
         context_.clock.now());
 }
 
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -4,6 +4,7 @@
 #include "takeover/fleet_context.h"
 #include "takeover/fleet_members.h"
 #include "takeover/primary_permission.h"
+#include "takeover/records_recovery.h"
 
 #include <functional>
 #include <map>
@@ -49,7 +50,7 @@
     /// `at`.
     void confirmByStore(TimePoint at);
     /// Called when the traffic thread has applied the records of that version.
-    void noteAppliedRecords(ResourceVersion version)
+    void noteAppliedRecords(StoreVersion version)
     {
         appliedRecords_ = std::max(appliedRecords_, version);
     }
@@ -61,14 +62,17 @@
     /// Exchanges reports with all peers now.
     void requestReports() { exchangeWithAll(false); }
 
+    /// What this daemon knows of the records of before the store was restored.
+    FormerRecords formerRecords() const;
+
     /// Whether a promise is in force that this daemon neither announces a replacement nor promotes.
     bool promised(TimePoint now) const { return now < promisedUntil_; }
     /// Whether this daemon may announce a replacement.
     bool mayAnnounce(TimePoint now) const;
     /// Whether every daemon that may use a primary has applied the records of that version.
-    bool allApplied(ResourceVersion version) const;
+    bool allApplied(StoreVersion version) const;
     /// Whether at least half of the daemons have, counted as FleetMembers::halfMeet() does.
-    bool halfApplied(ResourceVersion version) const;
+    bool halfApplied(StoreVersion version) const;
     PrimaryReachabilitySummary reachabilityOf(const ServiceName &service,
                                               const EndpointId &endpoint) const;
 
@@ -80,6 +84,7 @@
         bool exchanging = false; ///< an exchange with the peer is in progress
         unsigned failures = 0; ///< exchanges in a row without an answer
         bool removing = false; ///< a change that removes the member record is in progress
+        StoreEra mergedEra; ///< era in which this daemon took over the peer's records
     };
     /// State of the queries that confirm this daemon's records.
     struct Confirmation
@@ -102,7 +107,8 @@
 
     void renewPermission(TimePoint at);
     void noteStoreConfirmation(TimePoint at);
-    bool hasApplied(const VmId &vm, ResourceVersion version) const;
+    bool hasMerged(const VmId &vm) const;
+    bool hasApplied(const VmId &vm, StoreVersion version) const;
     void chooseFeedsToWatch(TimePoint now);
     void logPermission(TimePoint now);
     void registerSelf();
@@ -144,13 +150,14 @@
     std::optional<TimePoint> registeredAt_; ///< unset if the record of an earlier run was valid
     std::map<VmId, PeerState> peerStates_;
     std::optional<TimePoint> storeConfirmedAt_; ///< to this daemon or to a peer
+    StoreEra confirmedEra_; ///< see PeerStatus
     std::map<ServiceName, PrimaryReachability> ownReachability_;
     PrimaryPermission permission_;
     std::optional<TimePoint> sentExpiry_; ///< expiry last sent to the traffic thread
     bool lapseLogged_ = false; ///< the last logged event is PermissionLapsed
     bool recordsReachable_ = true; ///< the store answered the last check of the records
     TimePoint promisedUntil_{};
-    ResourceVersion appliedRecords_; ///< version that the traffic thread has applied
+    StoreVersion appliedRecords_; ///< version that the traffic thread has applied
     TimePoint lastExchange_{};
     TimePoint lastLostMemberCheck_{}; ///< last search for lost members
 };
--- a/src/takeover/fleet_peers_store.cpp
+++ b/src/takeover/fleet_peers_store.cpp
@@ -70,10 +70,12 @@
     nextRegistration_ = now + context_.random.delayAround(registrationRetryDelay);
     const std::string name = daemonRecordName(context_.settings.vm);
     registeredAt_ = now;
-    const std::string text =
-        encodeDaemonRecord({context_.settings.vm, context_.settings.region, context_.settings.zone,
-                            context_.settings.peerAddress});
-    context_.putRecord(name, records.versionOf(name), text,
+    const std::string text = encodeDaemonRecord({.vm = context_.settings.vm,
+                                                 .region = context_.settings.region,
+                                                 .zone = context_.settings.zone,
+                                                 .address = context_.settings.peerAddress,
+                                                 .generation = context_.nextGeneration(name)});
+    context_.putRecord(name, records.replica().storedVersion(name), text,
                        [this](const auto &) { registering_ = false; });
 }
 
@@ -155,7 +157,8 @@
 void FleetPeers::removeLostMembers(TimePoint now)
 {
     const GroupFeed &records = context_.records();
-    const bool storeSettled = !records.failing() && recordsReachable_ && records.healthySince()
+    const bool storeSettled = !records.failing() && recordsReachable_ && context_.recordsRecovered()
+                              && records.healthySince()
                               && now - *records.healthySince() > memberLossTimeout;
     if (!members_.isAmongFirst(lostMemberCheckerCount) || !storeSettled
         || now - lastLostMemberCheck_ < lostMemberCheckInterval)
@@ -183,6 +186,7 @@
     logEvent(Event::MemberDead, {{"vm", vm.value()}});
     DaemonRecord record = members_.others().at(vm).record;
     record.removed = true;
+    record.generation = context_.nextGeneration(name);
     context_.putRecord(name, version, encodeDaemonRecord(record), [this, vm](const auto &) {
         // Whether the change was accepted or not, the records show if the member is removed.
         if (const auto state = peerStates_.find(vm); state != peerStates_.end())
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -18,8 +18,6 @@
 // Limit of the first retry's delay, doubled with each failure. Full jitter below it, so that the
 // daemons do not all call at once when the store recovers.
 constexpr Milliseconds firstRetryDelayLimit{100};
-// Removals that are remembered for partial copies; a peer that lacks more gets the whole group.
-constexpr std::size_t maxKnownRemovals = 256;
 
 std::string_view groupName(ObjectGroup group)
 {
@@ -47,6 +45,7 @@
     , group_(group)
     , watchPeriod_(watchPeriod)
     , handlers_(std::move(handlers))
+    , replica_(group)
 {
 }
 
@@ -57,16 +56,17 @@
 
 void GroupFeed::start()
 {
-    if (!listNeeded_) {
+    if (listNeeded_)
+        list();
+    else
         continueWatching();
-        return;
-    }
-    idle_ = false;
-    list();
 }
 
 void GroupFeed::list()
 {
+    if (std::exchange(listing_, true))
+        return;
+    idle_ = false;
     const TimePoint sentAt = clock_.now();
     store_.list(group_, listTimeout, [this, alive = alive_, sentAt](auto outcome) {
         if (*alive)
@@ -74,14 +74,21 @@
     });
 }
 
+void GroupFeed::listAgain()
+{
+    listNeeded_ = true;
+    list();
+}
+
 void GroupFeed::watch()
 {
+    watchOpen_ = true;
     const TimePoint sentAt = clock_.now();
     const Milliseconds period = failing_ ? recoveryWatchPeriod : watchPeriod_;
-    store_.watch(group_, version_, period, period + watchTimeoutMargin,
-                 [this, alive = alive_, sentAt](auto outcome) {
+    store_.watch(group_, version(), period, period + watchTimeoutMargin,
+                 [this, alive = alive_, from = version(), sentAt](auto outcome) {
                      if (*alive)
-                         handleChanges(sentAt, std::move(outcome));
+                         handleChanges(from, sentAt, std::move(outcome));
                  });
 }
 
@@ -96,6 +103,8 @@
 
 void GroupFeed::continueWatching()
 {
+    if (listing_ || watchOpen_)
+        return;
     idle_ = !watching_;
     if (watching_)
         watch();
@@ -103,87 +112,95 @@
 
 void GroupFeed::handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome)
 {
+    listing_ = false;
     if (const auto *failure = std::get_if<StoreFailure>(&outcome)) {
         handleFailure(*failure);
         return;
     }
+    const auto &list = std::get<GroupSnapshot>(outcome);
+    const StoreVersion former = version();
+    if (loaded() && list.version.era < former.era) {
+        scheduleRetry(failures_); // answered before the store was restored
+        return;
+    }
     handleSuccess();
     listNeeded_ = false;
-    const bool first = !loaded_;
-    const auto &snapshot = std::get<GroupSnapshot>(outcome);
-    if (!first && snapshot.version < version_) {
+    if (replica_.applyList(list)) {
+        noteEra(former.era);
+        handlers_.changed();
+    } else {
         logEvent(Event::ListOutdated, {{"group", groupName(group_)},
-                                       {"revision", snapshot.version.value()},
-                                       {"copy_revision", version_.value()},
-                                       {"items", snapshot.items.size()}});
+                                       {"revision", list.version.revision.value()},
+                                       {"copy_revision", former.revision.value()},
+                                       {"items", list.items.size()}});
     }
-    if (applySnapshot(snapshot) || first)
-        loaded_ = true;
-    if (snapshot.version >= version_)
+    if (list.version.includes(version()))
         handlers_.confirmed(sentAt);
     continueWatching();
 }
 
-void GroupFeed::handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome)
+void GroupFeed::handleChanges(StoreVersion from, TimePoint sentAt,
+                              StoreOutcome<GroupChanges> outcome)
 {
+    watchOpen_ = false;
     if (const auto *failure = std::get_if<StoreFailure>(&outcome)) {
-        handleFailure(*failure);
+        if (*failure == StoreFailure::HistoryGone && from != version())
+            continueWatching(); // the copy has moved on since
+        else
+            handleFailure(*failure);
         return;
     }
     handleSuccess();
-    applyAndConfirm(sentAt, std::get<GroupChanges>(outcome));
-    continueWatching();
+    relists_ = 0;
+    if (applyAndConfirm(from, sentAt, std::get<GroupChanges>(outcome)))
+        continueWatching();
+    else
+        listAgain();
 }
 
 void GroupFeed::check(Milliseconds wait, std::function<void(bool answered)> callback)
 {
     const TimePoint sentAt = clock_.now();
-    store_.check(group_, version_, wait, checkTimeout,
-                 [this, alive = alive_, sentAt,
+    store_.check(group_, version(), wait, checkTimeout,
+                 [this, alive = alive_, from = version(), sentAt,
                   callback = std::move(callback)](const StoreOutcome<GroupChanges> &outcome) {
                      if (!*alive)
                          return;
                      const auto *changes = std::get_if<GroupChanges>(&outcome);
-                     if (changes)
-                         applyAndConfirm(sentAt, *changes);
-                     callback(changes != nullptr);
+                     const bool historyGone =
+                         !changes && std::get<StoreFailure>(outcome) == StoreFailure::HistoryGone;
+                     if (changes && !applyAndConfirm(from, sentAt, *changes))
+                         listAgain();
+                     else if (historyGone && from == version() && !listing_)
+                         handleHistoryGone();
+                     callback(changes || historyGone);
                  });
 }
 
-void GroupFeed::applyAndConfirm(TimePoint sentAt, const GroupChanges &changes)
+// Returns false if the store is in a later era, so that it must be listed again.
+bool GroupFeed::applyAndConfirm(StoreVersion from, TimePoint sentAt, const GroupChanges &changes)
 {
-    if (changes.version >= version_)
-        applyChanges(changes);
+    const StoreVersion held = version();
+    if (changes.version.era > held.era)
+        return false;
+    // Changes after a revision of another era may lack some; an answer of an earlier era is void.
+    if (changes.version.era < held.era || from.era != held.era)
+        return true;
+    if (changes.version >= held && replica_.applyChanges(changes))
+        handlers_.changed();
     // An answer older than the copy confirms it, too: the copy holds all of its changes.
     handlers_.confirmed(sentAt);
+    return true;
 }
 
-void GroupFeed::applyChanges(const GroupChanges &changes)
+// A watch from a version of the former era may never be answered.
+void GroupFeed::noteEra(StoreEra former)
 {
-    bool changed = false;
-    for (const auto &[item, deleted] : changes.changes) {
-        const auto known = items_.find(item.name);
-        if (known != items_.end() && known->second.version >= item.version && !deleted)
-            continue;
-        changed = true;
-        if (deleted) {
-            items_.erase(item.name);
-            removed_[item.name] = changes.version;
-        } else {
-            items_[item.name] = item;
-            removed_.erase(item.name);
-        }
-    }
-    version_ = changes.version;
-    if (removed_.size() > maxKnownRemovals) {
-        removed_.clear();
-        removalHorizon_ = version_;
-    }
-    // Own changes are applied before their event, but only the event sets the content version.
-    if (!changes.changes.empty())
-        contentVersion_ = changes.version;
-    if (changed)
-        handlers_.changed();
+    if (version().era == former)
+        return;
+    eraSince_ = clock_.now();
+    if (std::exchange(watchOpen_, false))
+        store_.cancelWatch(group_);
 }
 
 void GroupFeed::handleSuccess()
@@ -195,13 +212,25 @@
         logEvent(Event::PlatformRecovered, {{"group", groupName(group_)}});
 }
 
+// Lists at once, but later lists wait until a watch has been answered.
+void GroupFeed::handleHistoryGone()
+{
+    logEvent(Event::ConfigurationRelisted, {{"group", groupName(group_)},
+                                            {"era", version().era.value()},
+                                            {"revision", version().revision.value()}});
+    listNeeded_ = true;
+    if (relists_ == 0) {
+        ++relists_;
+        list();
+    } else {
+        scheduleRetry(relists_);
+    }
+}
+
 void GroupFeed::handleFailure(StoreFailure failure)
 {
     if (failure == StoreFailure::HistoryGone) {
-        logEvent(Event::ConfigurationRelisted,
-                 {{"group", groupName(group_)}, {"revision", version_.value()}});
-        listNeeded_ = true;
-        list();
+        handleHistoryGone();
         return;
     }
     if (!watching_ && !listNeeded_) {
@@ -213,13 +242,13 @@
         logEvent(Event::PlatformUnavailable,
                  {{"group", groupName(group_)}, {"failure", failureName(failure)}});
     }
-    scheduleRetry();
+    scheduleRetry(failures_);
 }
 
-void GroupFeed::scheduleRetry()
+void GroupFeed::scheduleRetry(unsigned &attempts)
 {
     const auto limit =
-        std::min(maxRetryDelay_, firstRetryDelayLimit * (1 << std::min(failures_++, 6U)));
+        std::min(maxRetryDelay_, firstRetryDelayLimit * (1 << std::min(attempts++, 6U)));
     const auto delay = Milliseconds(random_.below(static_cast<std::uint64_t>(limit.count())) + 1);
     loop_.startTimer(delay, [this, alive = alive_] {
         if (*alive)
@@ -227,118 +256,52 @@
     });
 }
 
-bool GroupFeed::applySnapshot(const GroupSnapshot &snapshot)
-{
-    if (loaded_ && raiseContentVersion(snapshot.version))
-        return false;
-    std::map<std::string, StoredItem> items;
-    for (const StoredItem &item : snapshot.items)
-        items[item.name] = item;
-    // Own changes can be newer than the snapshot.
-    for (const auto &[name, item] : items_) {
-        if (item.version > snapshot.version)
-            items[name] = item;
-    }
-    items_ = std::move(items);
-    removed_.clear();
-    removalHorizon_ = snapshot.version;
-    contentVersion_ = snapshot.version;
-    version_ = std::max(version_, snapshot.version);
-    loaded_ = true;
-    listNeeded_ = false;
-    handlers_.changed();
-    return true;
-}
-
 void GroupFeed::applyOwnChange(const StoredItem &item)
 {
-    auto &known = items_[item.name];
-    if (known.version >= item.version)
-        return;
-    known = item;
-    handlers_.changed();
-}
-
-// Returns whether this copy is at least as new as the version. Nothing changed between the content
-// version and version_, so a version between them becomes the content version: otherwise a peer
-// with equal content and that version would count as newer.
-bool GroupFeed::raiseContentVersion(ResourceVersion version)
-{
-    if (version > version_)
-        return false;
-    contentVersion_ = std::max(contentVersion_, version);
-    return true;
+    if (replica_.applyOwnChange(item))
+        handlers_.changed();
 }
 
 void GroupFeed::applyCopy(const GroupCopy &copy)
 {
-    const ResourceVersion before = contentVersion_;
-    applyPeerItems(copy);
-    if (contentVersion_ != before && isLogged(Event::PeerCopyApplied)) {
-        logEvent(Event::PeerCopyApplied, {{"group", groupName(group_)},
-                                          {"revision", contentVersion_.value()},
-                                          {"former_revision", before.value()},
-                                          {"items", copy.items.size()}});
-    }
-}
-
-void GroupFeed::applyPeerItems(const GroupCopy &copy)
-{
-    if (!copy.since) {
-        applySnapshot({copy.version, copy.items});
+    const StoreVersion former = version();
+    if (!replica_.applyCopy(copy))
         return;
+    if (isLogged(Event::PeerCopyApplied)) {
+        logEvent(Event::PeerCopyApplied, {{"group", groupName(group_)},
+                                          {"era", version().era.value()},
+                                          {"revision", version().revision.value()},
+                                          {"former_revision", former.revision.value()},
+                                          {"items", copy.items.size()},
+                                          {"carried", copy.carried.size()}});
     }
-    if (!loaded_ || version_ < *copy.since || raiseContentVersion(copy.version))
-        return;
-    GroupChanges changes{copy.version, {}};
-    for (const StoredItem &item : copy.items)
-        changes.changes.push_back({item, false});
-    for (const std::string &name : copy.removed) {
-        const auto known = items_.find(name);
-        if (known != items_.end() && known->second.version <= copy.version)
-            changes.changes.push_back({known->second, true});
-    }
-    applyChanges(changes);
-    contentVersion_ = copy.version;
-}
-
-GroupCopy GroupFeed::copyFor(ResourceVersion known) const
-{
-    GroupCopy copy{.group = group_, .version = contentVersion_};
-    if (known >= removalHorizon_) {
-        copy.since = known;
-        for (const auto &[name, removedAt] : removed_) {
-            if (removedAt > known)
-                copy.removed.push_back(name);
-        }
-    }
-    for (const auto &[name, item] : items_) {
-        if (peerLacks(known, item))
-            copy.items.push_back(item);
-    }
-    return copy;
+    if (!copy.since)
+        listNeeded_ = false;
+    const bool wasWatching = watchOpen_;
+    noteEra(former.era);
+    if (wasWatching)
+        continueWatching();
+    handlers_.changed();
 }
 
-std::size_t GroupFeed::copySize(ResourceVersion known) const
+void GroupFeed::dropCarried()
 {
-    std::size_t size = 0;
-    for (const auto &[name, item] : items_)
-        size += peerLacks(known, item) ? item.text.size() : 0;
-    return size;
+    if (replica_.dropCarried())
+        handlers_.changed();
 }
 
-// If not all removals since the known version are remembered, the peer needs the whole group.
-bool GroupFeed::peerLacks(ResourceVersion known, const StoredItem &item) const
+void GroupFeed::dropMissing()
 {
-    return known < removalHorizon_ || item.version > known;
+    if (replica_.dropMissing())
+        handlers_.changed();
 }
 
-std::optional<ResourceVersion> GroupFeed::versionOf(const std::string &name) const
+std::optional<StoreVersion> GroupFeed::versionOf(const std::string &name) const
 {
-    const auto found = items_.find(name);
-    if (found == items_.end())
+    const auto found = items().find(name);
+    if (found == items().end())
         return std::nullopt;
-    return found->second.version;
+    return found->second.version.stored;
 }
 
 } // namespace pistachiowood
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -3,10 +3,9 @@
 
 #include "base/random.h"
 #include "net/event_loop.h"
-#include "takeover/platform_store.h"
+#include "takeover/group_replica.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,7 +13,7 @@
 namespace pistachiowood {
 
 /// Keeps a local copy of one group of the platform's objects up to date: by a list, then by
-/// consecutive watches, and by newer copies from peers. The version never decreases.
+/// consecutive watches, and by newer copies from peers.
 class GroupFeed
 {
 public:
@@ -35,49 +34,44 @@
     /// Sets the longest delay before a failed call is retried.
     void setMaxRetryDelay(Milliseconds delay) { maxRetryDelay_ = delay; }
     bool watching() const { return watching_; }
-    /// Applies a copy from a peer, if it is newer and, for a partial copy, this copy holds the
-    /// version that it builds on.
+    /// Applies a copy from a peer, if it is newer.
     void applyCopy(const GroupCopy &copy);
-    /// Copy for a peer that has the given content version: only what it lacks if all removals since
-    /// then are known, otherwise the whole group.
-    GroupCopy copyFor(ResourceVersion known) const;
-    /// Size in bytes of the texts in that copy.
-    std::size_t copySize(ResourceVersion known) const;
     /// Asks the store for changes while a watch is waiting; a watch alone would confirm the copy
     /// only when it ends. The callback is told whether the store answered.
     void check(Milliseconds wait, std::function<void(bool answered)> callback);
     /// Applies a change that this daemon made in the store, before a watch reports it.
     void applyOwnChange(const StoredItem &item);
+    /// See GroupReplica::dropCarried() and dropMissing().
+    void dropCarried();
+    void dropMissing();
 
-    const std::map<std::string, StoredItem> &items() const { return items_; }
+    const GroupReplica &replica() const { return replica_; }
+    const GroupReplica::Items &items() const { return replica_.items(); }
     /// Version of the named object; nullopt if there is none.
-    std::optional<ResourceVersion> versionOf(const std::string &name) const;
-    ResourceVersion version() const { return version_; }
-    /// Version at which the content last changed. Peers compare it, so that copies of equal content
-    /// are not exchanged.
-    ResourceVersion contentVersion() const { return contentVersion_; }
+    std::optional<StoreVersion> versionOf(const std::string &name) const;
+    StoreVersion version() const { return replica_.version(); }
+    /// When the copy entered the era of its version.
+    TimePoint eraSince() const { return eraSince_; }
     /// Whether the last call to the store failed.
     bool failing() const { return failing_; }
     /// Time since which the store has answered every list and watch; nullopt after a failure.
     std::optional<TimePoint> healthySince() const { return healthySince_; }
     /// Whether the copy has been complete once, from the store or from a peer.
-    bool loaded() const { return loaded_; }
+    bool loaded() const { return replica_.loaded(); }
 
 private:
     void list();
-    void applyPeerItems(const GroupCopy &copy);
-    bool applySnapshot(const GroupSnapshot &snapshot);
-    bool raiseContentVersion(ResourceVersion version);
-    bool peerLacks(ResourceVersion known, const StoredItem &item) const;
     void watch();
     void continueWatching();
     void handleList(TimePoint sentAt, StoreOutcome<GroupSnapshot> outcome);
-    void applyAndConfirm(TimePoint sentAt, const GroupChanges &changes);
-    void applyChanges(const GroupChanges &changes);
-    void handleChanges(TimePoint sentAt, StoreOutcome<GroupChanges> outcome);
+    void handleChanges(StoreVersion from, TimePoint sentAt, StoreOutcome<GroupChanges> outcome);
     void handleFailure(StoreFailure failure);
+    void handleHistoryGone();
     void handleSuccess();
-    void scheduleRetry();
+    bool applyAndConfirm(StoreVersion from, TimePoint sentAt, const GroupChanges &changes);
+    void listAgain();
+    void noteEra(StoreEra former);
+    void scheduleRetry(unsigned &attempts);
 
     EventLoop &loop_;
     const Clock &clock_;
@@ -86,14 +80,12 @@
     ObjectGroup group_;
     Milliseconds watchPeriod_;
     Handlers handlers_;
-    std::map<std::string, StoredItem> items_;
-    /// Objects removed since the horizon, each with a version that no longer has it.
-    std::map<std::string, ResourceVersion> removed_;
-    ResourceVersion removalHorizon_; ///< removals up to this version are not known
-    ResourceVersion version_;
-    ResourceVersion contentVersion_;
-    bool loaded_ = false;
+    GroupReplica replica_;
+    TimePoint eraSince_{};
     bool listNeeded_ = true;
+    bool listing_ = false; ///< a list is open
+    bool watchOpen_ = false;
+    unsigned relists_ = 0; ///< lists because of a lost history, until a watch is answered
     Milliseconds maxRetryDelay_{800}; ///< a small fleet makes a few calls a second in an outage
     bool watching_ = true;
     bool idle_ = true; ///< no list, watch or retry is pending
--- a/src/takeover/group_feed_test.cpp
+++ b/src/takeover/group_feed_test.cpp
@@ -1,4 +1,5 @@
 #include "takeover/group_feed.h"
+#include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,25 +18,32 @@
         callback(listed);
     }
 
-    void watch(ObjectGroup, ResourceVersion, Milliseconds, Milliseconds,
+    void watch(ObjectGroup, StoreVersion from, Milliseconds, Milliseconds,
                Callback<GroupChanges> callback) override
     {
+        watchedFrom = from;
         ++watches;
         waitingWatch = std::move(callback);
     }
 
-    void check(ObjectGroup, ResourceVersion, Milliseconds, Milliseconds,
+    void cancelWatch(ObjectGroup) override
+    {
+        ++cancelledWatches;
+        waitingWatch = nullptr;
+    }
+
+    void check(ObjectGroup, StoreVersion, Milliseconds, Milliseconds,
                Callback<GroupChanges>) override
     {
     }
 
-    void putRecord(const std::string &, std::optional<ResourceVersion>, const std::string &,
-                   Milliseconds, Callback<ResourceVersion>) override
+    void putRecord(const std::string &, std::optional<StoreVersion>, const std::string &,
+                   Milliseconds, Callback<StoreVersion>) override
     {
     }
 
-    void deleteRecord(const std::string &, ResourceVersion, Milliseconds,
-                      Callback<ResourceVersion>) override
+    void deleteRecord(const std::string &, StoreVersion, Milliseconds,
+                      Callback<StoreVersion>) override
     {
     }
 
@@ -50,13 +58,15 @@
 
     GroupSnapshot listed;
     Callback<GroupChanges> waitingWatch;
+    StoreVersion watchedFrom;
     unsigned lists = 0;
     unsigned watches = 0;
+    unsigned cancelledWatches = 0;
 };
 
 StoredItem item(const std::string &name, std::uint64_t version)
 {
-    return {name, ResourceVersion(version), "{}"};
+    return storedItem(name, storeVersion(version));
 }
 
 } // namespace
@@ -68,6 +78,7 @@
         ScriptedStore store;
         std::unique_ptr<GroupFeed> feed;
         unsigned changes = 0;
+        unsigned confirmations = 0;
     };
     EventLoop loop;
     BootClock clock;
@@ -80,13 +91,21 @@
         peer.store.listed = std::move(listed);
         peer.feed = std::make_unique<GroupFeed>(
             loop, clock, random, peer.store, ObjectGroup::Endpoints, 20s,
-            GroupFeed::Handlers{[&peer] { ++peer.changes; }, [](TimePoint) {}});
+            GroupFeed::Handlers{[&peer] { ++peer.changes; },
+                                [&peer](TimePoint) { ++peer.confirmations; }});
         peer.feed->start();
     }
 
+    void runFor(Milliseconds time)
+    {
+        loop.startTimer(time, [this] { loop.stop(); });
+        EventLoop &running = loop;
+        running.run();
+    }
+
     GroupCopy sendCopy()
     {
-        const GroupCopy copy = sender.feed->copyFor(receiver.feed->contentVersion());
+        const GroupCopy copy = sender.feed->replica().copyFor(receiver.feed->replica().state());
         receiver.feed->applyCopy(copy);
         return copy;
     }
@@ -95,24 +114,24 @@
 // Guards against sending the whole group at each change: one scale run sent 83 MB between regions.
 TEST(GroupFeed, copyHoldsOnlyWhatThePeerLacks)
 {
-    start(sender, {ResourceVersion(10), {item("a", 3), item("b", 4), item("c", 5)}});
-    start(receiver, {ResourceVersion(10), {item("a", 3), item("b", 4), item("c", 5)}});
-    sender.store.answer({ResourceVersion(12), {{item("b", 11), false}, {item("c", 12), true}}});
+    start(sender, {storeVersion(10), {item("a", 3), item("b", 4), item("c", 5)}});
+    start(receiver, {storeVersion(10), {item("a", 3), item("b", 4), item("c", 5)}});
+    sender.store.answer({storeVersion(12), {{item("b", 11), false}, {item("c", 12), true}}});
     const GroupCopy copy = sendCopy();
-    CHECK_TRUE(copy.since == ResourceVersion(10));
+    CHECK_TRUE(copy.since == storeVersion(10));
     LONGS_EQUAL(1, copy.items.size());
     LONGS_EQUAL(1, copy.removed.size());
     LONGS_EQUAL(2, receiver.feed->items().size());
-    LONGS_EQUAL(11, receiver.feed->items().at("b").version.value());
-    CHECK_TRUE(receiver.feed->contentVersion() == sender.feed->contentVersion());
+    LONGS_EQUAL(11, receiver.feed->items().at("b").version.stored.revision.value());
+    CHECK_TRUE(receiver.feed->replica().state() == sender.feed->replica().state());
 }
 
 // Guards against an object that stays in a peer's copy because the sender does not know that it was
 // removed.
 TEST(GroupFeed, peerOlderThanTheFirstListGetsTheWholeGroup)
 {
-    start(receiver, {ResourceVersion(6), {item("a", 3), item("gone", 5)}});
-    start(sender, {ResourceVersion(10), {item("a", 3)}});
+    start(receiver, {storeVersion(6), {item("a", 3), item("gone", 5)}});
+    start(sender, {storeVersion(10), {item("a", 3)}});
     CHECK_FALSE(sendCopy().since.has_value());
     LONGS_EQUAL(1, receiver.feed->items().size());
 }
@@ -120,50 +139,91 @@
 // Guards against a partial copy that is applied to an older version than the one it builds on.
 TEST(GroupFeed, partialCopyForANewerVersionIsIgnored)
 {
-    start(receiver, {ResourceVersion(6), {item("a", 3)}});
-    GroupCopy copy{ObjectGroup::Endpoints, ResourceVersion(12), ResourceVersion(8), {}, {}};
+    start(receiver, {storeVersion(6), {item("a", 3)}});
+    GroupCopy copy{ObjectGroup::Endpoints, storeVersion(12), storeVersion(8), {}, {}};
     copy.items.push_back(item("b", 11));
     receiver.feed->applyCopy(copy);
     LONGS_EQUAL(1, receiver.feed->items().size());
-    LONGS_EQUAL(6, receiver.feed->contentVersion().value());
+    LONGS_EQUAL(6, receiver.feed->replica().state().content.revision.value());
 }
 
 // Guards against equal content under different content versions: the peer's confirmations would not
 // count, and it would request copies for ever.
 TEST(GroupFeed, equalContentTakesTheNewerVersion)
 {
-    start(sender, {ResourceVersion(10), {item("a", 3)}});
-    start(receiver, {ResourceVersion(10), {item("a", 3)}});
-    sender.store.answer({ResourceVersion(13), {{item("a", 11), false}}});
-    receiver.store.answer({ResourceVersion(11), {{item("a", 11), false}}});
-    receiver.store.answer({ResourceVersion(20), {}});
+    start(sender, {storeVersion(10), {item("a", 3)}});
+    start(receiver, {storeVersion(10), {item("a", 3)}});
+    sender.store.answer({storeVersion(13), {{item("a", 11), false}}});
+    receiver.store.answer({storeVersion(11), {{item("a", 11), false}}});
+    receiver.store.answer({storeVersion(20), {}});
     const unsigned changes = receiver.changes;
     sendCopy();
-    LONGS_EQUAL(13, receiver.feed->contentVersion().value());
+    LONGS_EQUAL(13, receiver.feed->replica().state().content.revision.value());
     LONGS_EQUAL(changes, receiver.changes);
 }
 
 // Guards against the loss of a change that this daemon made after the peer's copy.
 TEST(GroupFeed, wholeCopyKeepsNewerOwnChanges)
 {
-    start(receiver, {ResourceVersion(6), {item("a", 3)}});
+    start(receiver, {storeVersion(6), {item("a", 3)}});
     receiver.feed->applyOwnChange(item("own", 15));
-    receiver.feed->applyCopy({ObjectGroup::Endpoints, ResourceVersion(12), {}, {item("a", 9)}, {}});
+    receiver.feed->applyCopy({ObjectGroup::Endpoints, storeVersion(12), {}, {item("a", 9)}, {}});
     LONGS_EQUAL(2, receiver.feed->items().size());
-    LONGS_EQUAL(9, receiver.feed->items().at("a").version.value());
+    LONGS_EQUAL(9, receiver.feed->items().at("a").version.stored.revision.value());
 }
 
 // Guards against store calls while watching is switched off, and against watches that do not resume
 // when it is switched on.
 TEST(GroupFeed, watchesOnlyWhileEnabled)
 {
-    start(sender, {ResourceVersion(6), {}});
+    start(sender, {storeVersion(6), {}});
     sender.feed->setWatching(false);
     LONGS_EQUAL(1, sender.store.watches);
-    sender.store.answer({ResourceVersion(7), {}});
+    sender.store.answer({storeVersion(7), {}});
     LONGS_EQUAL(1, sender.store.watches);
     sender.feed->setWatching(true);
     sender.feed->setWatching(true);
     LONGS_EQUAL(2, sender.store.watches);
     LONGS_EQUAL(1, sender.store.lists);
 }
+
+// Guards against a store that is called without pause (15,314 calls in 5 s) when it has lost the
+// revision of each watch.
+TEST(GroupFeed, listAndWatchFollowEachOtherWithoutPause)
+{
+    start(sender, {storeVersion(9), {item("a", 3)}});
+    for (unsigned i = 0; i < 5; ++i) {
+        if (sender.store.waitingWatch)
+            std::exchange(sender.store.waitingWatch, nullptr)(StoreFailure::HistoryGone);
+    }
+    LONGS_EQUAL(2, sender.store.lists);
+    runFor(250ms);
+    CHECK_TRUE(sender.store.waitingWatch != nullptr);
+    CHECK_TRUE(sender.store.lists <= 4);
+}
+
+// Guards against answers that confirm a copy of another era of the store.
+TEST(GroupFeed, answerOfAnotherEraConfirmsTheCopy)
+{
+    start(receiver, {storeVersion(9), {item("a", 3)}});
+    const unsigned confirmed = receiver.confirmations;
+    receiver.store.listed = {storeVersion(4, 2), {item("a", 3)}};
+    receiver.store.answer({storeVersion(9, 2), {}});
+    LONGS_EQUAL(2, receiver.store.lists);
+    CHECK_TRUE(receiver.feed->version() == storeVersion(4, 2));
+    LONGS_EQUAL(confirmed + 1, receiver.confirmations); // by the list
+    receiver.store.answer({storeVersion(12, 1), {{item("a", 12), false}}});
+    LONGS_EQUAL(confirmed + 1, receiver.confirmations);
+    LONGS_EQUAL(3, receiver.feed->items().at("a").version.stored.revision.value());
+}
+
+// Guards against a watch from a revision of the former era, which misses changes or is never
+// answered.
+TEST(GroupFeed, watchOfTheFormerEraGoesOn)
+{
+    start(sender, {storeVersion(4, 2), {item("a", 3)}});
+    start(receiver, {storeVersion(9), {item("a", 3)}});
+    sendCopy();
+    LONGS_EQUAL(1, receiver.store.cancelledWatches);
+    CHECK_TRUE(receiver.store.watchedFrom == storeVersion(4, 2));
+}
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -28,14 +28,17 @@
 
 PrimaryReport describePrimary(const PrimaryReachability &evidence, TimePoint now);
 
-/// Versions of a daemon's copies, age of its confirmations, and reachability of the primaries.
+/// States of a daemon's copies, age of its confirmations, and reachability of the primaries.
 struct PeerStatus
 {
     VmId vm;
-    std::array<ResourceVersion, objectGroupCount> versions;
-    ResourceVersion appliedRecords; ///< version that the sender's traffic thread has applied
+    std::array<ReplicaState, objectGroupCount> replicas;
+    StoreVersion appliedRecords; ///< version that the sender's traffic thread has applied
     std::optional<Milliseconds> confirmedAge; ///< time since its records were known to be complete
     std::optional<Milliseconds> storeConfirmedAge; ///< the same, counting the store's answers only
+    /// Newest era of the store of which the sender, in this run and as a member, held the complete
+    /// records; 0 if there is none.
+    StoreEra confirmedEra;
     std::vector<PrimaryReport> primaries;
 };
 
--- a/src/takeover/platform_store.h
+++ b/src/takeover/platform_store.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_TAKEOVER_PLATFORM_STORE_H
 
 #include "gateway/deployment.h"
+#include "takeover/store_version.h"
 
 #include <pistachiowood/clock.h>
 #include <pistachiowood/error.h>
@@ -28,26 +29,36 @@
 struct StoredItem
 {
     std::string name;
-    ResourceVersion version;
+    ItemVersion version;
     std::string text; ///< JSON
 };
 
 /// All objects of a group at one version of the store.
 struct GroupSnapshot
 {
-    ResourceVersion version;
+    StoreVersion version;
     std::vector<StoredItem> items;
 };
 
+/// State of a daemon's copy of a group, to find out what a peer lacks.
+struct ReplicaState
+{
+    StoreVersion content; ///< version of the store at which the objects last changed
+    std::uint64_t carried = 0; ///< digest of the objects kept from earlier eras; 0 without any
+
+    friend bool operator==(const ReplicaState &, const ReplicaState &) = default;
+};
+
 /// Copy of a group that one daemon sends to another: all objects, or those that changed after the
 /// receiver's version.
 struct GroupCopy
 {
     ObjectGroup group = ObjectGroup::Configuration;
-    ResourceVersion version;
-    std::optional<ResourceVersion> since; ///< unset: the copy holds every object
-    std::vector<StoredItem> items;
+    StoreVersion version;
+    std::optional<StoreVersion> since; ///< unset: the copy holds every object
+    std::vector<StoredItem> items; ///< as the store holds them
     std::vector<std::string> removed; ///< names of objects removed after `since`
+    std::vector<StoredItem> carried; ///< objects of earlier eras that the store has lost
 };
 
 struct GroupChange
@@ -59,7 +70,7 @@
 /// Changes of a group up to one version of the store.
 struct GroupChanges
 {
-    ResourceVersion version;
+    StoreVersion version;
     std::vector<GroupChange> changes;
 };
 
@@ -85,21 +96,25 @@
     virtual ~PlatformStore() = default;
     virtual void list(ObjectGroup group, Milliseconds timeout,
                       Callback<GroupSnapshot> callback) = 0;
-    /// Answers with the changes after the version as soon as there are any, or with none after
-    /// `wait`.
-    virtual void watch(ObjectGroup group, ResourceVersion from, Milliseconds wait,
+    /// Answers with the changes after the revision as soon as there are any, or with none after
+    /// `wait`. The answer may be of another era than `from`. At most one watch of a group may be
+    /// open.
+    virtual void watch(ObjectGroup group, StoreVersion from, Milliseconds wait,
                        Milliseconds timeout, Callback<GroupChanges> callback) = 0;
+    /// Ends the open watch of the group, if any; its callback will not run.
+    virtual void cancelWatch(ObjectGroup group) = 0;
     /// Like watch(), but can be called while a watch of the group is waiting. At most one check of
     /// a group may be open.
-    virtual void check(ObjectGroup group, ResourceVersion from, Milliseconds wait,
+    virtual void check(ObjectGroup group, StoreVersion from, Milliseconds wait,
                        Milliseconds timeout, Callback<GroupChanges> callback) = 0;
-    /// Replaces the record if it has the expected version; without one, creates it.
-    virtual void putRecord(const std::string &name, std::optional<ResourceVersion> expected,
+    /// Replaces the record if it has the expected revision; without one, creates it. The answer
+    /// may be of another era than `expected`.
+    virtual void putRecord(const std::string &name, std::optional<StoreVersion> expected,
                            const std::string &text, Milliseconds timeout,
-                           Callback<ResourceVersion> callback) = 0;
-    /// Deletes the record if it has the expected version.
-    virtual void deleteRecord(const std::string &name, ResourceVersion expected,
-                              Milliseconds timeout, Callback<ResourceVersion> callback) = 0;
+                           Callback<StoreVersion> callback) = 0;
+    /// Deletes the record if it has the expected revision.
+    virtual void deleteRecord(const std::string &name, StoreVersion expected, Milliseconds timeout,
+                              Callback<StoreVersion> callback) = 0;
 
     virtual Result<DeploymentConfiguration> decodeConfiguration(const StoredItem &item) = 0;
     /// Fails if the entry does not describe a usable endpoint.
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -54,7 +54,9 @@
         return std::nullopt;
     const bool notYetAnnounced = stage_ == Stage::Monitoring || stage_ == Stage::AcquiringLease
                                  || stage_ == Stage::Announcing;
-    if (!notYetAnnounced && input.recordVersion > announcedVersion_) {
+    if (input.announcedByThisRun && input.recordVersion.era != announcedVersion_.era)
+        announcedVersion_ = input.recordVersion; // written again after the store lost it
+    if (!notYetAnnounced && input.recordVersion != announcedVersion_) {
         reset(input.now); // another daemon has continued or finished the replacement
         return std::nullopt;
     }
@@ -127,8 +129,12 @@
     Milliseconds delay = delayPerRank * input.rank;
     if (reason != Reason::Planned && !input.membershipEstablished)
         delay += newMemberDelay;
-    if (reason == Reason::Unfinished && input.record->changedBy != self_)
-        delay += unfinishedReplacementTimeout;
+    if (reason == Reason::Unfinished) {
+        if (input.announcedByThisRun)
+            delay = Milliseconds(0);
+        else if (input.record->changedBy != self_)
+            delay += unfinishedReplacementTimeout;
+    }
     if (reason == Reason::Failed && !present)
         delay += missingRegistrationTimeout;
     if (input.now - *reasonSince_ < delay)
@@ -333,7 +339,7 @@
         retryAt_ = now + retryDelay;
 }
 
-void PrimaryReplacement::handleAnnounced(std::optional<ResourceVersion> version, TimePoint now)
+void PrimaryReplacement::handleAnnounced(std::optional<StoreVersion> version, TimePoint now)
 {
     pending_ = false;
     if (!version) {
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -26,7 +26,7 @@
 {
     TimePoint now;
     std::optional<PrimaryRecord> record;
-    ResourceVersion recordVersion;
+    StoreVersion recordVersion;
     TimePoint recordSince; ///< when this daemon first saw the record's version
     std::vector<ReplacementCandidate> candidates; ///< registered endpoints of the service
     bool registrationsCurrent = false; ///< an endpoint without a registration has failed or left
@@ -34,6 +34,7 @@
     unsigned peersReaching = 0; ///< peers that recently had an answer from the primary
     unsigned peersFailing = 0; ///< peers that recently had none
     unsigned peerCount = 0; ///< all peers, whether they answered or not
+    bool announcedByThisRun = false; ///< an announcement in force is of this run of this daemon
     bool mayAnnounce = false; ///< no promise to a peer forbids announcements
     bool leaseHeld = false;
     bool leaseAvailable = false;
@@ -108,7 +109,7 @@
     std::optional<ReplacementCommand> step(const ReplacementInput &input);
 
     void handleLeaseResult(bool acquired, TimePoint now);
-    void handleAnnounced(std::optional<ResourceVersion> version, TimePoint now);
+    void handleAnnounced(std::optional<StoreVersion> version, TimePoint now);
     void handleSurvey(const std::map<EndpointId, ReplicationStatus> &statuses, TimePoint now);
     void handleDemoted(std::optional<ReplicationStatus> status, TimePoint now);
     void handlePromoted(PromotionOutcome outcome, TimePoint now);
@@ -156,7 +157,7 @@
     std::uint64_t attempt_ = 0;
     std::optional<TimePoint> announcedAt_;
     std::optional<TimePoint> halfAcknowledgedAt_;
-    ResourceVersion announcedVersion_;
+    StoreVersion announcedVersion_;
     EndpointId oldPrimary_;
     std::map<EndpointId, ReplicationStatus> statuses_;
     std::optional<TimePoint> surveySince_;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -1,5 +1,6 @@
 #include "takeover/primary_permission.h"
 #include "takeover/primary_replacement.h"
+#include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -28,7 +29,7 @@
     {
         input.now = TimePoint(std::chrono::hours(1));
         input.record = PrimaryRecord{ServiceName("db"), oldPrimary, false, VmId("vm"), 0};
-        input.recordVersion = ResourceVersion(5);
+        input.recordVersion = storeVersion(5);
         input.candidates = {{oldPrimary, false, 2}, {first, false, 2}, {second, false, 1}};
         input.registrationsCurrent = true;
         input.mayAnnounce = true;
@@ -58,9 +59,9 @@
         replacement.handleLeaseResult(true, input.now);
         input.leaseHeld = true;
         CHECK_TRUE(nextCommandIs<AnnounceCommand>());
-        input.recordVersion = ResourceVersion(6);
+        input.recordVersion = storeVersion(6);
         input.record->replacing = true;
-        replacement.handleAnnounced(ResourceVersion(6), input.now);
+        replacement.handleAnnounced(storeVersion(6), input.now);
     }
 
     void survey(const std::map<EndpointId, ReplicationStatus> &statuses)
@@ -195,7 +196,7 @@
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
     announce();
-    input.recordVersion = ResourceVersion(8);
+    input.recordVersion = storeVersion(8);
     CHECK_FALSE(replacement.step(input).has_value());
     CHECK_TRUE(replacement.stage() == PrimaryReplacement::Stage::Monitoring);
 }
@@ -215,3 +216,33 @@
     CHECK_FALSE(replacement.step(input).has_value());
     CHECK_TRUE(replacement.stage() == PrimaryReplacement::Stage::Monitoring);
 }
+
+// Guards against a replacement that starts over, or is left to others for seconds, when the store
+// was restored and its announcement was written again.
+TEST(PrimaryReplacement, announcementWrittenAgainStopsTheReplacement)
+{
+    announce();
+    input.allAcknowledged = true;
+    survey({{first, replicaAt(4)}, {second, replicaAt(4)}});
+    input.announcedByThisRun = true;
+    input.recordVersion = storeVersion(3, 2);
+    input.leaseHeld = false;
+    CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
+    replacement.handleLeaseResult(true, input.now);
+    input.leaseHeld = true;
+    input.now += 2s;
+    CHECK_TRUE(nextCommandIs<PromoteCommand>());
+}
+
+// Guards against a daemon that goes on although another one has continued its replacement.
+TEST(PrimaryReplacement, changeByAnotherDaemonDoesNotStopTheReplacement)
+{
+    announce();
+    input.allAcknowledged = true;
+    survey({{first, replicaAt(4)}, {second, replicaAt(4)}});
+    input.recordVersion = storeVersion(3, 2);
+    input.now += 2s;
+    CHECK_FALSE(replacement.step(input).has_value());
+    LONGS_EQUAL(static_cast<int>(PrimaryReplacement::Stage::Monitoring),
+                static_cast<int>(replacement.stage()));
+}
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view servicePrefix = "service-";
 constexpr std::string_view memberPrefix = "member-";
 constexpr std::string_view promotionLeaseName = "promotion-duty";
+constexpr std::string_view recoveredEraName = "recovered-era";
 
 } // namespace
 
@@ -28,13 +29,30 @@
     return std::string(promotionLeaseName);
 }
 
+std::string recoveredEraRecordName()
+{
+    return std::string(recoveredEraName);
+}
+
 RecordKind recordKindOf(const std::string &name)
 {
     if (name.starts_with(servicePrefix))
         return RecordKind::Primary;
     if (name.starts_with(memberPrefix))
         return RecordKind::Member;
-    return name == promotionLeaseName ? RecordKind::PromotionLease : RecordKind::Other;
+    if (name == promotionLeaseName)
+        return RecordKind::PromotionLease;
+    return name == recoveredEraName ? RecordKind::RecoveredEra : RecordKind::Other;
+}
+
+std::uint64_t recordGeneration(const std::string &text)
+{
+    const auto generation = capture([&]() -> Result<std::optional<std::uint64_t>> {
+        BOOST_LEAF_AUTO(object, parseJsonObject(text));
+        return optionalUnsigned(object, recordGenerationField);
+    });
+    const auto *value = std::get_if<std::optional<std::uint64_t>>(&generation);
+    return value ? value->value_or(0) : 0;
 }
 
 std::string encodePrimaryRecord(const PrimaryRecord &record)
@@ -45,6 +63,7 @@
         {"replacing", record.replacing},
         {"changedBy", record.changedBy.value()},
         {"attempt", record.attempt},
+        {recordGenerationField, record.generation},
     });
 }
 
@@ -54,6 +73,7 @@
         {"holder", record.holder.value()},
         {"fencingToken", record.fencingToken},
         {"renewal", record.renewal},
+        {recordGenerationField, record.generation},
     });
 }
 
@@ -65,9 +85,26 @@
         {"zone", record.zone.value()},
         {"address", formatAddress(record.address)},
         {"removed", record.removed},
+        {recordGenerationField, record.generation},
+    });
+}
+
+std::string encodeRecoveredEraRecord(const RecoveredEraRecord &record)
+{
+    return boost::json::serialize(boost::json::object{
+        {"era", record.era.value()},
+        {recordGenerationField, record.generation},
     });
 }
 
+Result<RecoveredEraRecord> decodeRecoveredEraRecord(const std::string &text)
+{
+    BOOST_LEAF_AUTO(object, parseJsonObject(text));
+    BOOST_LEAF_AUTO(era, requireUnsigned(object, "era"));
+    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    return RecoveredEraRecord{StoreEra(era), generation.value_or(0)};
+}
+
 Result<PrimaryRecord> decodePrimaryRecord(const std::string &text)
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
@@ -76,8 +113,13 @@
     BOOST_LEAF_AUTO(replacing, optionalBool(object, "replacing"));
     BOOST_LEAF_AUTO(changedBy, requireString(object, "changedBy"));
     BOOST_LEAF_AUTO(attempt, requireUnsigned(object, "attempt"));
-    return PrimaryRecord{ServiceName(service), EndpointId(primary), replacing.value_or(false),
-                         VmId(changedBy), attempt};
+    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    return PrimaryRecord{ServiceName(service),
+                         EndpointId(primary),
+                         replacing.value_or(false),
+                         VmId(changedBy),
+                         attempt,
+                         generation.value_or(0)};
 }
 
 Result<PromotionLeaseRecord> decodePromotionLeaseRecord(const std::string &text)
@@ -86,7 +128,8 @@
     BOOST_LEAF_AUTO(holder, requireString(object, "holder"));
     BOOST_LEAF_AUTO(token, requireUnsigned(object, "fencingToken"));
     BOOST_LEAF_AUTO(renewal, requireUnsigned(object, "renewal"));
-    return PromotionLeaseRecord{VmId(holder), token, renewal};
+    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    return PromotionLeaseRecord{VmId(holder), token, renewal, generation.value_or(0)};
 }
 
 Result<DaemonRecord> decodeDaemonRecord(const std::string &text)
@@ -98,8 +141,9 @@
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
     BOOST_LEAF_AUTO(removed, optionalBool(object, "removed"));
-    return DaemonRecord{VmId(vm), RegionName(region), ZoneName(zone.value_or("")), address,
-                        removed.value_or(false)};
+    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    return DaemonRecord{VmId(vm), RegionName(region),      ZoneName(zone.value_or("")),
+                        address,  removed.value_or(false), generation.value_or(0)};
 }
 
 } // namespace pistachiowood
--- a/src/takeover/replacement_exploration_test.cpp
+++ b/src/takeover/replacement_exploration_test.cpp
@@ -1,6 +1,7 @@
 #include "takeover/primary_permission.h"
 #include "takeover/primary_replacement.h"
 #include "takeover/promotion_lease.h"
+#include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -80,13 +81,13 @@
     struct Versioned
     {
         PrimaryRecord record;
-        ResourceVersion version;
+        StoreVersion version;
     };
 
-    ResourceVersion version{5};
-    Versioned service{{ServiceName("db"), oldPrimary, false, VmId("a"), 0}, ResourceVersion(5)};
+    StoreVersion version = storeVersion(5);
+    Versioned service{{ServiceName("db"), oldPrimary, false, VmId("a"), 0}, storeVersion(5)};
     std::optional<PromotionLeaseRecord> lease;
-    ResourceVersion leaseVersion;
+    StoreVersion leaseVersion;
     std::optional<unsigned> replacedAt; ///< step at which another endpoint became the primary
     std::uint64_t highestToken = 0;
     VmId highestTokenOwner;
@@ -287,11 +288,11 @@
         };
     }
 
-    std::optional<ResourceVersion> putRecord(Replacer &replacer, const PrimaryRecord &record,
-                                             CallFault fault)
+    std::optional<StoreVersion> putRecord(Replacer &replacer, const PrimaryRecord &record,
+                                          CallFault fault)
     {
-        const ResourceVersion expected = replacer.known->version;
-        const auto change = [this, record, expected]() -> std::optional<ResourceVersion> {
+        const StoreVersion expected = replacer.known->version;
+        const auto change = [this, record, expected]() -> std::optional<StoreVersion> {
             if (platform_.service.version != expected)
                 return std::nullopt;
             platform_.service = {record, nextVersion()};
@@ -348,9 +349,9 @@
         }
     }
 
-    ResourceVersion nextVersion()
+    StoreVersion nextVersion()
     {
-        return platform_.version = ResourceVersion(platform_.version.value() + 1);
+        return platform_.version = storeVersion(platform_.version.revision.value() + 1);
     }
 
     static constexpr unsigned lateExecutionSteps = 10; // steps
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -1,6 +1,9 @@
 #include "takeover/replacement_runner.h"
 
 #include "base/log.h"
+#include "takeover/endpoint_survey.h"
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -20,6 +23,13 @@
 // Separates the daemons, so that normally only one creates the first record of a service.
 constexpr Milliseconds createDelayPerRank{300};
 
+// Equal for all daemons with the same record, also in the next era of the store.
+std::uint64_t epochOf(const PrimaryRecord &record)
+{
+    const std::string &primary = record.primary.value();
+    return XXH64(primary.data(), primary.size(), record.generation);
+}
+
 } // namespace
 
 ReplacementRunner::ReplacementRunner(FleetContext &context, FleetPeers &peers)
@@ -29,23 +39,26 @@
 {
 }
 
-void ReplacementRunner::updatePrimaryRecord(const PrimaryRecord &record, ResourceVersion version)
+void ReplacementRunner::updatePrimaryRecord(const PrimaryRecord &record, StoreVersion version)
 {
     ServiceState &state = services_[record.service];
-    if (version <= state.recordVersion)
+    if (version == state.recordVersion)
         return;
+    const bool changed = state.record != record;
     state.record = record;
     state.recordVersion = version;
     state.recordSince = context_.clock.now();
+    if (!changed)
+        return; // written again after the store lost it
     logEvent(record.replacing ? Event::PromotionStarted : Event::PrimaryRecorded,
              {{"service", record.service.value()},
               {"primary", record.primary.value()},
               {"by", record.changedBy.value()},
-              {"version", version.value()}});
+              {"era", version.era.value()},
+              {"version", version.revision.value()}});
 }
 
-void ReplacementRunner::updateLeaseRecord(const PromotionLeaseRecord &record,
-                                          ResourceVersion version)
+void ReplacementRunner::updateLeaseRecord(const PromotionLeaseRecord &record, StoreVersion version)
 {
     lease_.observe(record, version, context_.clock.now());
 }
@@ -58,7 +71,7 @@
     service.replacementInProgress = state->second.record->replacing;
     if (!service.replacementInProgress)
         service.primary = state->second.record->primary;
-    service.primaryEpoch = state->second.recordVersion.value();
+    service.primaryEpoch = epochOf(*state->second.record);
 }
 
 bool ReplacementRunner::mayPromise(TimePoint now) const
@@ -71,7 +84,7 @@
 
 void ReplacementRunner::tick()
 {
-    if (!context_.configuration || !context_.records().loaded())
+    if (!context_.configuration)
         return;
     for (const ServiceLimits &service : context_.configuration->services)
         tickService(service);
@@ -79,6 +92,8 @@
 
 void ReplacementRunner::tickService(const ServiceLimits &service)
 {
+    if (!context_.recordsRecovered())
+        return;
     ServiceState &state = services_[service.name];
     if (!state.record) {
         createRecord(service, state);
@@ -129,8 +144,12 @@
     if (now - state.creatableSince < createDelayPerRank * peers_.members().rankFor(service.name))
         return;
     state.creatingRecord = true;
-    const PrimaryRecord record{service.name, primary->first, false, context_.settings.vm, 0};
-    context_.putRecord(primaryRecordName(service.name), std::nullopt, encodePrimaryRecord(record),
+    const std::string name = primaryRecordName(service.name);
+    const PrimaryRecord record{.service = service.name,
+                               .primary = primary->first,
+                               .changedBy = context_.settings.vm,
+                               .generation = context_.nextGeneration(name)};
+    context_.putRecord(name, std::nullopt, encodePrimaryRecord(record),
                        [this, service = service.name](const auto &) {
                            services_[service].creatingRecord = false;
                        });
@@ -145,6 +164,9 @@
     input.record = state.record;
     input.recordVersion = state.recordVersion;
     input.recordSince = state.recordSince;
+    input.announcedByThisRun = state.record->replacing
+                               && state.record->changedBy == context_.settings.vm
+                               && state.record->generation == state.announcedGeneration;
     input.syncReplicas = service.syncReplicas;
     std::map<RegionName, unsigned> endpointsPerRegion;
     const FleetSettings &settings = context_.settings;
@@ -222,8 +244,8 @@
     } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
         announcementUncertainUntil_ = context_.clock.now() + lateExecutionLimit;
         putPrimaryRecord(
-            announcement->record, [this, service](const StoreOutcome<ResourceVersion> &outcome) {
-                const auto *version = std::get_if<ResourceVersion>(&outcome);
+            announcement->record, [this, service](const StoreOutcome<StoreVersion> &outcome) {
+                const auto *version = std::get_if<StoreVersion>(&outcome);
                 const auto *failure = std::get_if<StoreFailure>(&outcome);
                 if (!failure || *failure != StoreFailure::NoAnswer)
                     announcementUncertainUntil_ = context_.clock.now();
@@ -246,8 +268,8 @@
         promote(service, promotion->endpoint);
     } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
         putPrimaryRecord(
-            publication->record, [this, service](const StoreOutcome<ResourceVersion> &outcome) {
-                const bool published = std::holds_alternative<ResourceVersion>(outcome);
+            publication->record, [this, service](const StoreOutcome<StoreVersion> &outcome) {
+                const bool published = std::holds_alternative<StoreVersion>(outcome);
                 if (published)
                     logEvent(Event::PromotionCompleted, {{"service", service.value()}});
                 replacementOf(service)->handlePublished(published, context_.clock.now());
@@ -261,13 +283,14 @@
         return;
     acquiringLease_ = true;
     const TimePoint sentAt = context_.clock.now();
-    const PromotionLeaseRecord record = lease_.propose(sentAt);
+    PromotionLeaseRecord record = lease_.propose(sentAt);
+    record.generation = context_.nextGeneration(promotionLeaseRecordName());
     context_.putRecord(promotionLeaseRecordName(), lease_.expectedVersion(),
                        encodePromotionLeaseRecord(record),
-                       [this, record, sentAt](const StoreOutcome<ResourceVersion> &outcome) {
+                       [this, record, sentAt](const StoreOutcome<StoreVersion> &outcome) {
                            acquiringLease_ = false;
                            const TimePoint now = context_.clock.now();
-                           const auto *version = std::get_if<ResourceVersion>(&outcome);
+                           const auto *version = std::get_if<StoreVersion>(&outcome);
                            if (version)
                                lease_.accept(record, *version, sentAt, now);
                            for (auto &[service, state] : services_) {
@@ -279,44 +302,24 @@
                        });
 }
 
-void ReplacementRunner::putPrimaryRecord(
-    const PrimaryRecord &record,
-    std::function<void(const StoreOutcome<ResourceVersion> &)> callback)
+void ReplacementRunner::putPrimaryRecord(PrimaryRecord record,
+                                         FleetContext::RecordCallback callback)
 {
-    context_.putRecord(primaryRecordName(record.service), services_[record.service].recordVersion,
-                       encodePrimaryRecord(record), std::move(callback));
+    const std::string name = primaryRecordName(record.service);
+    record.generation = context_.nextGeneration(name);
+    if (record.replacing)
+        noteAnnouncement(record.service, record.generation);
+    context_.putRecord(name, services_[record.service].recordVersion, encodePrimaryRecord(record),
+                       std::move(callback));
 }
 
 void ReplacementRunner::survey(const ServiceName &service, const std::vector<EndpointId> &endpoints)
 {
-    struct Round
-    {
-        std::size_t open = 0;
-        std::map<EndpointId, ReplicationStatus> statuses;
-    };
-    auto round = std::make_shared<Round>();
-    round->open = endpoints.size();
-    for (const EndpointId &endpoint : endpoints) {
-        context_.traffic.queryStatus(
-            service, endpoint, {.verb = Verb::Status}, statusQueryTimeout,
-            [this, alive = context_.alive, service, endpoint, round](auto status) {
-                if (!*alive)
-                    return;
-                if (status)
-                    round->statuses[endpoint] = *status;
-                logEvent(Event::EndpointSurveyed,
-                         {{"service", service.value()},
-                          {"endpoint", endpoint.value()},
-                          {"answered", status ? 1 : 0},
-                          {"primary", status && status->primary ? 1 : 0},
-                          {"term", status ? status->term.value() : 0},
-                          {"received", status ? status->received.number.value() : 0}});
-                if (--round->open == 0) {
-                    replacementOf(service)->handleSurvey(round->statuses, context_.clock.now());
-                    scheduleStep(service);
-                }
-            });
-    }
+    surveyEndpoints(context_, service, endpoints,
+                    [this, service](const EndpointStatuses &statuses) {
+                        replacementOf(service)->handleSurvey(statuses, context_.clock.now());
+                        scheduleStep(service);
+                    });
 }
 
 void ReplacementRunner::promote(const ServiceName &service, const EndpointId &endpoint)
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -20,8 +20,20 @@
 public:
     ReplacementRunner(FleetContext &context, FleetPeers &peers);
 
-    void updatePrimaryRecord(const PrimaryRecord &record, ResourceVersion version);
-    void updateLeaseRecord(const PromotionLeaseRecord &record, ResourceVersion version);
+    void updatePrimaryRecord(const PrimaryRecord &record, StoreVersion version);
+    /// Takes the era of the records; leases of earlier eras have ended.
+    void enterEra(StoreEra era) { lease_.enterEra(era); }
+    /// Lease record to write after the store was restored, if it needs to be written.
+    std::optional<PromotionLeaseRecord> recoveredLease() const
+    {
+        return lease_.recoveredRecord(context_.clock.now());
+    }
+    void updateLeaseRecord(const PromotionLeaseRecord &record, StoreVersion version);
+    /// Notes that this daemon announces a replacement with that generation of the record.
+    void noteAnnouncement(const ServiceName &service, std::uint64_t generation)
+    {
+        services_[service].announcedGeneration = generation;
+    }
     /// Sets the primary, its epoch and whether it is being replaced, if the service has a record.
     void fillPrimary(ServiceView &service) const;
 
@@ -39,8 +51,9 @@
     {
         std::unique_ptr<PrimaryReplacement> replacement;
         std::optional<PrimaryRecord> record;
-        ResourceVersion recordVersion;
+        StoreVersion recordVersion;
         TimePoint recordSince{};
+        std::uint64_t announcedGeneration = 0; ///< of this daemon's last announcement
         TimePoint creatableSince{}; ///< since when the record is missing and could be created
         bool creatingRecord = false;
         bool waitsForLease = false;
@@ -53,8 +66,7 @@
     void logStep(const ServiceName &service, const ReplacementCommand &command) const;
     void execute(const ServiceName &service, const ReplacementCommand &command);
     void acquireLease();
-    void putPrimaryRecord(const PrimaryRecord &record,
-                          std::function<void(const StoreOutcome<ResourceVersion> &)> callback);
+    void putPrimaryRecord(PrimaryRecord record, FleetContext::RecordCallback callback);
     void survey(const ServiceName &service, const std::vector<EndpointId> &endpoints);
     void promote(const ServiceName &service, const EndpointId &endpoint);
 
--- a/tests/system/gateway_soak_test.py
+++ b/tests/system/gateway_soak_test.py
@@ -1,7 +1,8 @@
 """Fault soak of pistachiowood-platform: real daemons before stand-ins of the platform.
 
 Guards against acknowledged writes that are lost or doubled, refused writes that are kept, sessions that do not read
-their own writes, and fencing tokens that go back. Usage: gateway_soak_test.py BIN [SECONDS [SEED]]
+their own writes, and fencing tokens that go back. Faults of the processes and of the store overlap; the store also comes back
+from older copies of its state. Usage: gateway_soak_test.py BIN [SECONDS [SEED]]
 """
 
 import asyncio
@@ -14,6 +15,8 @@
 
 DAEMONS = 3
 FIRST_PORT = 17600
+RECOVERY_S = 8  # after the last fault
+APPLY_S = 3  # bound of the platform for a configuration to be in force
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 SETTINGS = """node_name = "vm-{n}"
 ip = "127.0.0.1"
@@ -35,9 +38,9 @@
 
 
 class Daemon:
-    def __init__(self, binary, folder, number, store_port, cloud_port):
+    def __init__(self, binary, folder, number, store_port, cloud_port, first_port=FIRST_PORT):
         self.binary = binary
-        self.front = FIRST_PORT + 10 * number
+        self.front = first_port + 10 * number
         self.path = f"{folder}/vm-{number}.toml"
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(n=number, front=self.front, ready=self.front + 1, peer=self.front + 2,
@@ -124,7 +127,7 @@
     names = iter(range(100, 10000))
     while not stop.is_set():
         await asyncio.sleep(generator.uniform(0.8, 1.6))
-        kind = generator.choice(["kill", "freeze", "terminate", "store", "replace"])
+        kind = generator.choice(["kill", "freeze", "terminate", "replace"])
         daemon = generator.choice(daemons)
         print("fault", kind, daemon.front, flush=True)
         if kind in ("kill", "terminate"):
@@ -135,10 +138,6 @@
             daemon.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(generator.uniform(0.5, 4))
             daemon.process.send_signal(signal.SIGCONT)
-        elif kind == "store":
-            store.set_down(True)
-            await asyncio.sleep(generator.uniform(0.5, 4))
-            store.set_down(False)
         elif leader := group.leader():
             await group.add(f"e{next(names)}")
             leader.register("draining")
@@ -153,41 +152,100 @@
                 leader.register("ready")
 
 
+async def inject_store_faults(generator, store, group, stop):
+    """Outages of the store; after most of them it has lost its last seconds."""
+    checkpoints = []
+
+    async def keep_checkpoints():
+        while True:
+            checkpoints.append(store.checkpoint())
+            del checkpoints[:-20]
+            await asyncio.sleep(0.5)
+
+    keeper = asyncio.ensure_future(keep_checkpoints())
+    while not stop.is_set():
+        await asyncio.sleep(generator.uniform(0.5, 4))
+        restored = generator.random() < 0.7
+        print("fault", "restore" if restored else "store", flush=True)
+        store.set_down(True)
+        await asyncio.sleep(generator.uniform(0.2, 4))
+        configuration = store.objects[("config", "main")]["spec"]
+        if restored:
+            store.restore(generator.choice(checkpoints))
+            checkpoints.clear()
+            checkpoints.append(store.checkpoint())
+        store.set_down(False)
+        if restored:
+            await asyncio.sleep(generator.uniform(0, 1.5))
+            store.put("config", "main", configuration)
+            group.register_again()
+    keeper.cancel()
+
+
 async def soak(binary, seconds, seed):
     generator = random.Random(seed)
+    store_generator = random.Random(seed + 1)
     store = Store()
     group = Group(store, "db")
     store_server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
     cloud_server = await asyncio.start_server(group.promote, "127.0.0.1", 0)
-    store.put("config", "main", {
-        "version": 1, "routes": [{"name": "r", "db_name": "ledger", "kind": "read_your_writes", "timeout_ms": 1500,
-                                  "target_latency_ms": 600, "priority": 1, "service": "db", "max_staleness_ms": 2500}],
-        "services": [{"name": "db", "max_conns": 30, "sync_replicas": 0}], "limits": {"tx_idle_ms": 3000}})
+    store.put("config", "main", configuration(1, ["ledger"]))
     for number in range(3):
         await group.add(f"e{number}", primary=number == 0)
     folder = tempfile.mkdtemp(prefix="pistachiowood-soak-")
     print("seed", seed, "logs", folder, flush=True)
     ports = [server.sockets[0].getsockname()[1] for server in (store_server, cloud_server)]
-    daemons = [Daemon(binary, folder, number, *ports) for number in range(DAEMONS)]
+    # Runs with different seeds can be made at the same time.
+    first_port = FIRST_PORT + seed % 100 * 10 * DAEMONS
+    daemons = [Daemon(binary, folder, number, *ports, first_port) for number in range(DAEMONS)]
     for daemon in daemons:
         await daemon.start()
     await asyncio.sleep(1.5)
     stop = asyncio.Event()
     callers = [Caller(number, daemons, generator) for number in range(6)]
     tasks = [asyncio.ensure_future(caller.run(stop)) for caller in callers]
-    faults = asyncio.ensure_future(inject(generator, store, group, daemons, stop))
+    faults = [asyncio.ensure_future(inject(generator, store, group, daemons, stop)),
+              asyncio.ensure_future(inject_store_faults(store_generator, store, group, stop))]
     await asyncio.sleep(seconds)
     stop.set()
-    await asyncio.gather(faults, *tasks)
-    await asyncio.sleep(0.5)  # a daemon that has just been started handles signals by then
+    await asyncio.gather(*faults, *tasks)
+    await asyncio.sleep(RECOVERY_S)
+    store.put("config", "main", configuration(2, ["ledger", "added"]))
+    await asyncio.sleep(APPLY_S)
+    unusable = [daemon.front for daemon in daemons for database in ("ledger", "added")
+                if not await writes(daemon, database)]
     for daemon in daemons:
         daemon.process.send_signal(signal.SIGTERM)
     codes = [await asyncio.wait_for(daemon.process.wait(), 10) for daemon in daemons]
     kept = [entry[2] for entry in group.leader().log]
-    return check(callers, kept, group.tokens, codes)
+    return check(callers, kept, group.tokens, codes, unusable)
+
+
+def configuration(version, databases):
+    return {"version": version,
+            "routes": [{"name": name, "db_name": name, "kind": "read_your_writes", "timeout_ms": 1500,
+                        "target_latency_ms": 600, "priority": 1, "service": "db", "max_staleness_ms": 2500}
+                       for name in databases],
+            "services": [{"name": "db", "max_conns": 30, "sync_replicas": 0}], "limits": {"tx_idle_ms": 3000}}
+
+
+async def writes(daemon, database):
+    """Whether a write through the daemon is acknowledged."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", daemon.front)
+        try:
+            writer.write(f"START {database} me\r\n".encode())
+            if not (await asyncio.wait_for(reader.readline(), 2)).startswith(b"READY"):
+                return False
+            writer.write(f"QUERY last-{daemon.front}-{database} WRITE i 1\r\n".encode())
+            return (await asyncio.wait_for(reader.readline(), 3)).startswith(b"DONE")
+        finally:
+            writer.close()
+    except (ConnectionError, asyncio.TimeoutError):
+        return False
 
 
-def check(callers, kept, tokens, codes):
+def check(callers, kept, tokens, codes, unusable):
     acknowledged = [identity for caller in callers for identity in caller.acknowledged]
     refused = [identity for caller in callers for identity in caller.refused]
     failures = {
@@ -196,6 +254,7 @@
         "refused and kept": [identity for identity in refused if identity in set(kept)],
         "own write not read": [identity for caller in callers for identity in caller.stale],
         "token went back": [pair for pair in zip(tokens, tokens[1:]) if pair[1][1] < pair[0][1]],
+        "no write after the faults": unusable,
         "exit codes": [code for code in codes if code != 0],
     }
     print(f"{len(acknowledged)} acknowledged, {len(refused)} refused, {len(tokens)} promotion calls")
--- a/tests/system/platform_fakes.py
+++ b/tests/system/platform_fakes.py
@@ -133,6 +133,9 @@
         self.primary = False
         self.writers = set()
         self.server = None
+        self.state = "ready"
+        self.reports = 0
+        self.statements = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=2**21)
@@ -140,15 +143,18 @@
         self.register("ready")
 
     def register(self, state):
+        self.state = state
+        self.reports += 1
         self.group.store.put("servers", self.name, {
             "service": self.group.service, "address": f"127.0.0.1:{self.port}", "zone": "a", "version": "v1",
             "slots": 4, "state": state, "cold_left_ms": 0, "target_role": "primary" if self.primary else "replica",
-            "sequence": 1, "born": 1})
+            "sequence": self.reports, "born": 1})
 
     def crash(self):
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
+        self.state = None
         self.group.store.delete("servers", self.name)
 
     def position(self):
@@ -189,6 +195,7 @@
             if needed > ((self.log[-1][0], self.log[-1][1]) if self.log else (0, 0)):
                 return f"ERR LAGGING {self.name}\r\n", "E" if transaction is not None else None
         word, _, rest = text.partition(" ")
+        self.statements += word in ("READ", "WRITE", "BEGIN")
         if word == "STATUS" or word == "STEPDOWN":
             if word == "STEPDOWN" and int(rest) > self.term:
                 self.primary = False
@@ -237,6 +244,15 @@
         await endpoint.start()
         return endpoint
 
+    def register_again(self):
+        """What the endpoints do after the store was restored; entries of those that are gone expire."""
+        for name in [name for kind, name in self.store.objects if kind == "servers"]:
+            if name not in self.endpoints or self.endpoints[name].state is None:
+                self.store.delete("servers", name)
+        for endpoint in self.endpoints.values():
+            if endpoint.state is not None:
+                endpoint.register(endpoint.state)
+
     def leader(self):
         leaders = [endpoint for endpoint in self.endpoints.values() if endpoint.primary]
         return max(leaders, key=lambda endpoint: endpoint.term, default=None)
--- a/tests/system/restored_store_test.py
+++ b/tests/system/restored_store_test.py
@@ -1,10 +1,12 @@
 """Real daemons before a store that comes back from an older copy of its state.
 
-Guards against confirmed changes that never come into force, since their revisions were given out before. Usage:
+Guards against confirmed changes that never come into force, since their revisions were given out before, and against
+primaries, leases and reports of endpoints that are forgotten with the store's last changes. Usage:
 restored_store_test.py BIN
 """
 
 import asyncio
+import json
 import sys
 import tempfile
 import time
@@ -54,10 +56,11 @@
         self.write_configuration()
 
     def write_configuration(self):
+        kind = "read_your_writes"
         self.store.put("config", "main", {
             "version": self.version,
-            "routes": [{"name": name, "db_name": name, "kind": "primary", "timeout_ms": 1500, "target_latency_ms": 600,
-                        "priority": 1, "service": "db"} for name in self.databases],
+            "routes": [{"name": name, "db_name": name, "kind": kind, "timeout_ms": 1500, "target_latency_ms": 600,
+                        "priority": 1, "service": "db", "max_staleness_ms": 2500} for name in self.databases],
             "services": [{"name": "db", "max_conns": 30, "sync_replicas": 0}], "limits": {"tx_idle_ms": 3000}})
 
     async def outage(self, checkpoint=None):
@@ -107,6 +110,17 @@
     async def asyncTearDown(self):
         await self.deployment.stop()
 
+    async def replace_primary(self):
+        """Lets the primary drain until another endpoint has taken over."""
+        group = self.deployment.group
+        former = group.leader()
+        former.register("draining")
+        for _ in range(60):
+            if group.leader() not in (None, former):
+                return former
+            await asyncio.sleep(0.1)
+        raise AssertionError("the primary was not replaced within 6 s")
+
     async def test_route_under_a_reused_revision_is_not_served(self):
         deployment = self.deployment
         checkpoint = deployment.store.checkpoint()
@@ -119,6 +133,48 @@
         deployment.configure(["ledger", "second", "third", "fourth"])
         await deployment.all_serve("fourth", APPLY_S)
 
+    async def test_new_primary_is_forgotten(self):
+        deployment = self.deployment
+        checkpoint = deployment.store.checkpoint()
+        await self.replace_primary()
+        await deployment.all_serve("ledger", APPLY_S)
+        await deployment.outage(checkpoint)
+        await deployment.all_serve("ledger", APPLY_S)
+        await asyncio.sleep(1)
+        record = json.loads(json.dumps(deployment.store.objects[("pistachiowood", "service-db")]["spec"]))
+        self.assertEqual((record["primary"], record["replacing"]), (deployment.group.leader().name, False))
+
+    async def test_replacement_under_way_never_ends(self):
+        deployment = self.deployment
+        checkpoint = deployment.store.checkpoint()
+        await self.replace_primary()  # not recorded yet
+        await deployment.outage(checkpoint)
+        await deployment.all_serve("ledger", APPLY_S)
+
+    async def test_fencing_token_goes_back(self):
+        deployment = self.deployment
+        checkpoint = deployment.store.checkpoint()
+        former = await self.replace_primary()
+        await deployment.all_serve("ledger", APPLY_S)
+        await deployment.outage(checkpoint)
+        former.register("ready")
+        await asyncio.sleep(6)  # longer than a lease
+        await self.replace_primary()
+        tokens = [token for _, token in deployment.group.tokens]
+        self.assertEqual(tokens, sorted(set(tokens)))
+
+    async def test_draining_endpoint_gets_work_again(self):
+        deployment = self.deployment
+        leaving = next(endpoint for endpoint in deployment.group.endpoints.values() if not endpoint.primary)
+        checkpoint = deployment.store.checkpoint()
+        leaving.register("draining")
+        await asyncio.sleep(5)  # the daemons send it no more work
+        before = leaving.statements
+        await deployment.outage(checkpoint)
+        for _ in range(20):
+            await deployment.all_serve("ledger", APPLY_S)
+        self.assertEqual(leaving.statements, before)
+
     async def test_store_is_called_without_pause(self):
         deployment = self.deployment
         await deployment.outage()
