Do not replace primaries on the word of a daemon that hears no peer

Cause: a daemon that does not reach a primary asks its peers, and after 0.8 s counts the votes that it has. Silent peers count for neither side, so without any report its own vote alone was the majority.

Evidence: a log line in a scratch copy at the step that takes the lease: failing="1" peersfailing="0" reaching="0" for all services of front-kut-east-4, event 1517 of the same daemon with answering="0". Ruled out: lost registrations (all 24 endpoints present), the restored records (nothing carried), peers' votes.

Change: a daemon that has heard no peer within a second waits for the longest lifetime of a permission (10.5 s) before it decides alone, since it is probably cut off itself. One report of any peer is enough to count votes as before.

Figures: the new test daemonThatHearsNoPeerReplacesAHealthyPrimary fails without the change. The exploration of replacements passes.

--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -521,6 +521,7 @@
     for (const auto &[vm, peer] : peerStates_) {
         if (!peer.report || now - peer.receivedAt > reportMaxAge)
             continue;
+        ++reachability.peersHeard;
         for (const PrimaryReport &primary : peer.report->primaries) {
             if (primary.service != service || primary.endpoint != endpoint)
                 continue;
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -19,6 +19,7 @@
 {
     std::optional<TimePoint> failingSince; ///< as seen from this daemon
     unsigned peerCount = 0; ///< peers, whether they have reported or not
+    unsigned peersHeard = 0; ///< peers with a recent report
     unsigned peersReaching = 0; ///< peers with a recent reply from it
     unsigned peersFailing = 0; ///< peers that it does not reply to
 };
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -143,7 +143,11 @@
         // This daemon alone may be cut off from the primary, which is replaced only if more daemons
         // have lost it than reach it.
         const bool allAnswered = input.peersReaching + input.peersFailing >= input.peerCount;
-        const bool timedOut = input.now - *reasonSince_ >= delay + peerAnswerTimeout;
+        // A daemon that hears no peer at all is probably cut off itself.
+        const bool cutOff = input.peerCount > 0 && input.peersHeard == 0;
+        const Milliseconds timeout =
+            cutOff ? PrimaryPermission::longestLifetime : peerAnswerTimeout;
+        const bool timedOut = input.now - *reasonSince_ >= delay + timeout;
         const bool lostByMost = input.peersFailing + 1 > input.peersReaching;
         if (!(allAnswered || timedOut) || !lostByMost)
             return askPeers(input);
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -34,6 +34,7 @@
     unsigned peersReaching = 0; ///< peers that recently had an answer from the primary
     unsigned peersFailing = 0; ///< peers that recently had none
     unsigned peerCount = 0; ///< all peers, whether they answered or not
+    unsigned peersHeard = 0; ///< peers with a recent report, about this primary or not
     bool announcedByThisRun = false; ///< an announcement in force is of this run of this daemon
     bool mayAnnounce = false; ///< no promise to a peer forbids announcements
     bool leaseHeld = false;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -96,6 +96,23 @@
     CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
 }
 
+// Guards against a replacement of a healthy primary by a daemon that reaches neither it nor any
+// peer: one with a saturated link replaced the primaries of five services.
+TEST(PrimaryReplacement, daemonThatHearsNoPeerReplacesAHealthyPrimary)
+{
+    input.primaryFailingSince = input.now - 5s;
+    input.peerCount = 5;
+    input.peersHeard = 0;
+    const TimePoint start = input.now;
+    while (input.now < start + PrimaryPermission::longestLifetime) {
+        const auto command = replacement.step(input);
+        CHECK_TRUE(!command || std::holds_alternative<AskPeersCommand>(*command));
+        input.now += 100ms;
+    }
+    input.now += 2s; // the others are lost
+    CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
+}
+
 // Guards against a promotion while a daemon may still use the old primary.
 TEST(PrimaryReplacement, waitsForAcknowledgementsOrThePeriod)
 {
--- a/src/takeover/replacement_exploration_test.cpp
+++ b/src/takeover/replacement_exploration_test.cpp
@@ -221,6 +221,7 @@
             input.primaryFailingSince = timeOf(primaryFailsAt);
         input.peersFailing = 1;
         input.peerCount = 2;
+        input.peersHeard = 1;
         input.mayAnnounce = true;
         input.leaseHeld = !safeguards_.leaseRequired || replacer.lease.held(input.now);
         input.leaseAvailable = !input.leaseHeld && replacer.lease.available(input.now);
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -189,6 +189,7 @@
         peers_.reachabilityOf(service.name, state.record->primary);
     input.primaryFailingSince = reachability.failingSince;
     input.peerCount = reachability.peerCount;
+    input.peersHeard = reachability.peersHeard;
     input.peersReaching = reachability.peersReaching;
     input.peersFailing = reachability.peersFailing;
     const bool recordsFailing = context_.records().failing();
