Keep endpoints in use whose registration has expired but may come back

Cause: the reports of an endpoint did not reach the store, its entry expired, and a daemon that saw the entry go closed all connections in the same moment. 0.3 s later the primary counted as lost, without asking whether it answered.

Evidence: event 1200 (connection to the endpoint was lost, then no endpoint can run the statement) at the time at which the entry went; the endpoint was not in the survey of the replacement. primaryIsGivenUpWithItsRegistration fails on the former code.

Change: EndpointRegistry keeps an endpoint that did not drain until its entry has been missing for 2.5 s during which the store confirmed the records to this daemon or a peer without a break. A primary without an entry is replaced before only if it fails to answer, as any other; an endpoint without one is not promoted. Events 1305, 1306, 1307. Entries that a restored store has lost take the same way, so GroupReplica::dropMissing goes. A recovery of the records starts after 100 ms a rank instead of 200 ms, and waits 1.5 s instead of 2 s for orders of daemons that have ended.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -27,6 +27,10 @@
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
     EVENT(TransactionClosed, 1303, Info, "transaction closed by the pool")                                 \
     EVENT(PoolState, 1304, Debug, "state of the connections to an endpoint")                               \
+    EVENT(RegistrationMissing, 1305, Warning,                                                              \
+          "registration of an endpoint is gone; it stays in use for a moment")                             \
+    EVENT(RegistrationReturned, 1306, Info, "endpoint has registered again")                               \
+    EVENT(EndpointDropped, 1307, Info, "endpoint is no longer registered and not used any more")           \
     EVENT(PrimarySuspected, 1500, Warning, "primary is suspected")                                         \
     EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected")                           \
     EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed")                                        \
--- a/src/takeover/fleet_context.cpp
+++ b/src/takeover/fleet_context.cpp
@@ -39,6 +39,16 @@
         feed(copy.group).applyCopy(copy);
 }
 
+std::vector<EndpointId> FleetContext::endpointsOf(const ServiceName &service) const
+{
+    std::vector<EndpointId> ids;
+    for (const auto &[id, endpoint] : endpoints.endpoints()) {
+        if (endpoint.entry.service == service)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::uint64_t FleetContext::nextGeneration(const std::string &name) const
 {
     return records().replica().lastChangeOf(name).change + 1;
--- a/src/takeover/fleet_context.h
+++ b/src/takeover/fleet_context.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_TAKEOVER_FLEET_CONTEXT_H
 
 #include "gateway/gateway.h"
+#include "takeover/endpoint_registry.h"
 #include "takeover/group_feed.h"
 #include "takeover/peer_report.h"
 
@@ -69,7 +70,7 @@
     TrafficPort &traffic;
     std::array<std::unique_ptr<GroupFeed>, objectGroupCount> feeds;
     std::optional<DeploymentConfiguration> configuration;
-    std::map<EndpointId, EndpointEntry> endpoints;
+    EndpointRegistry endpoints;
     std::optional<StoreEra> recoveredEra; ///< newest era whose records are complete
     /// False once the FleetControl is destroyed; checked by callbacks that may run later.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -89,6 +90,8 @@
     std::vector<GroupCopy> copiesFor(const PeerReport &peer, bool eraOnRequest) const;
     /// Passes copies from a peer to the feeds of their groups.
     void applyCopies(const std::vector<GroupCopy> &copies) const;
+    /// Ids of the endpoints of the service.
+    std::vector<EndpointId> endpointsOf(const ServiceName &service) const;
     /// Writes a record to the store. The local copy holds an accepted change before the callback
     /// runs. A change of which it is not known whether the store has kept it is reported as
     /// unanswered. The callback does not run after the FleetControl is destroyed.
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -13,9 +13,6 @@
 // detect a dead connection in the meantime.
 constexpr Milliseconds maxWatchWait{20000};
 constexpr Milliseconds viewPublishDelay{2}; // merges simultaneous changes into one view
-// After the store was restored, how long a missing registration proves nothing: endpoints register
-// again within two seconds.
-constexpr Milliseconds registrationReturnTime{2500};
 
 // Returns the decoded item, or logs the error and returns nullopt.
 template <typename Decode>
@@ -71,7 +68,7 @@
 
 bool FleetControl::ready() const
 {
-    return context_.configuration && !context_.endpoints.empty();
+    return context_.configuration && !context_.endpoints.endpoints().empty();
 }
 
 PeerReport FleetControl::handlePeerReport(const PeerReport &report)
@@ -118,15 +115,7 @@
                 decodeItem([&] { return context_.store.decodeEndpoint(item); }, item))
             endpoints.emplace(entry->id, *entry);
     }
-    std::erase_if(drainingSince_, [&](const auto &entry) {
-        const auto found = endpoints.find(entry.first);
-        return found == endpoints.end() || !found->second.draining;
-    });
-    for (const auto &[id, entry] : endpoints) {
-        if (entry.draining)
-            drainingSince_.try_emplace(id, context_.clock.now());
-    }
-    context_.endpoints = std::move(endpoints);
+    context_.endpoints.update(endpoints, context_.clock.now());
     scheduleView();
 }
 
@@ -218,15 +207,17 @@
         service.maxConnections = limits.maxConnections;
         replacements_.fillPrimary(service);
     }
-    for (const auto &[id, entry] : context_.endpoints) {
+    for (const auto &[id, registered] : context_.endpoints.endpoints()) {
+        const EndpointEntry &entry = registered.entry;
         const auto service = view->services.find(entry.service);
         if (service == view->services.end())
             continue;
         EndpointView &endpoint = service->second.endpoints.emplace_back();
         endpoint = {id, entry.address, entry.draining, distanceTo(entry.zone)};
         // The other half of the limit allows for the time until this daemon learned of the drain.
-        if (const auto since = drainingSince_.find(id); since != drainingSince_.end())
-            endpoint.acceptsStatementsUntil = since->second + context_.settings.drainLimit / 2;
+        if (registered.drainingSince)
+            endpoint.acceptsStatementsUntil =
+                *registered.drainingSince + context_.settings.drainLimit / 2;
     }
     ++viewsInFlight_;
     context_.traffic.setView(
@@ -244,9 +235,8 @@
     peers_.tick(now);
     recovery_.tick();
     replacements_.tick();
-    if (GroupFeed &endpoints = context_.feed(ObjectGroup::Endpoints);
-        now - endpoints.eraSince() >= registrationReturnTime)
-        endpoints.dropMissing();
+    if (context_.endpoints.expire(peers_.storeAnswersSince(now), now))
+        scheduleView();
     context_.loop.startTimer(tickInterval, [this, alive = context_.alive] {
         if (*alive)
             tick();
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -6,7 +6,6 @@
 #include "takeover/recovery_runner.h"
 #include "takeover/replacement_runner.h"
 
-#include <map>
 #include <vector>
 
 namespace pistachiowood {
@@ -48,7 +47,6 @@
     FleetPeers peers_;
     ReplacementRunner replacements_;
     RecoveryRunner recovery_;
-    std::map<EndpointId, TimePoint> drainingSince_; ///< when this daemon learned of the drain
     bool viewScheduled_ = false;
     unsigned viewsInFlight_ = 0; ///< sent to the traffic thread and not applied yet
 };
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -132,6 +132,19 @@
             });
     }
 
+    void remove(ObjectGroup group, const std::string &name)
+    {
+        version.revision = ResourceVersion(version.revision.value() + 1);
+        const auto index = static_cast<std::size_t>(group);
+        StoredItem item = groups.at(index).at(name);
+        item.version.stored = version;
+        groups.at(index).erase(name);
+        if (auto callback = std::exchange(watches.at(index), nullptr))
+            loop.post([callback, item] {
+                callback(GroupChanges{item.version.stored, {{item, true}}});
+            });
+    }
+
     struct Checkpoint
     {
         StoreVersion version;
@@ -725,3 +738,33 @@
     runFor(1500ms);
     LONGS_EQUAL(1, environment.promotions.size());
 }
+
+// Guards against a primary that is given up and replaced although it answers, because its reports
+// did not reach the store for a while.
+TEST(FleetControl, primaryIsGivenUpWithItsRegistration)
+{
+    start(true);
+    runFor(3500ms); // the store counts as healthy
+    store.remove(ObjectGroup::Endpoints, "p");
+    for (unsigned i = 0; i < 15; ++i) {
+        runFor(100ms);
+        LONGS_EQUAL(2, service().endpoints.size());
+        CHECK_TRUE(service().primary == EndpointId("p"));
+    }
+    store.change(ObjectGroup::Endpoints, "p", "ready");
+    runFor(1500ms);
+    CHECK_TRUE(service().primary == EndpointId("p"));
+    LONGS_EQUAL(0, environment.promotions.size());
+}
+
+// Guards against a primary that is never replaced after it has left without a drain.
+TEST(FleetControl, primaryThatHasLeftIsNotReplaced)
+{
+    start(true);
+    runFor(3500ms);
+    store.remove(ObjectGroup::Endpoints, "p");
+    environment.leader.reset();
+    runFor(4500ms);
+    LONGS_EQUAL(1, environment.promotions.size());
+    LONGS_EQUAL(1, service().endpoints.size());
+}
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -32,6 +32,8 @@
 // Time from its registration until a daemon may announce replacements. Until then, daemons that are
 // cut off from the store may not know it as a member.
 constexpr Milliseconds newMemberAnnounceDelay{5000};
+// Time without a confirmation that counts as an outage of the store.
+constexpr Milliseconds confirmationBreak{2000};
 constexpr Milliseconds reportMaxAge{1000}; // an older report of a peer is ignored
 constexpr Milliseconds reachableReplyMaxAge{700}; // primaries are probed every 500 ms
 constexpr Milliseconds failingMinDuration{400};
@@ -70,6 +72,8 @@
 
 void FleetPeers::noteStoreConfirmation(TimePoint at)
 {
+    if (!storeConfirmedAt_ || at - *storeConfirmedAt_ > confirmationBreak)
+        storeAnswersSince_ = context_.clock.now();
     storeConfirmedAt_ = std::max(storeConfirmedAt_.value_or(at), at);
     if (context_.recordsRecovered() && members_.registered() && at >= *members_.registeredSince())
         confirmedEra_ = context_.records().version().era;
@@ -355,6 +359,13 @@
            && state->second.mergedEra == context_.records().version().era;
 }
 
+std::optional<TimePoint> FleetPeers::storeAnswersSince(TimePoint now) const
+{
+    if (!storeConfirmedAt_ || now - *storeConfirmedAt_ > confirmationBreak)
+        return std::nullopt;
+    return storeAnswersSince_;
+}
+
 FormerRecords FleetPeers::formerRecords() const
 {
     StoreEra former = confirmedEra_;
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -63,6 +63,10 @@
     /// Exchanges reports with all peers now.
     void requestReports() { exchangeWithAll(false); }
 
+    /// Since when the store has confirmed the records to this daemon or a peer without a break;
+    /// nullopt during a break.
+    std::optional<TimePoint> storeAnswersSince(TimePoint now) const;
+
     /// What this daemon knows of the records of before the store was restored.
     FormerRecords formerRecords() const;
 
@@ -155,6 +159,7 @@
     std::optional<TimePoint> registeredAt_; ///< unset if the record of an earlier run was valid
     std::map<VmId, PeerState> peerStates_;
     std::optional<TimePoint> storeConfirmedAt_; ///< to this daemon or to a peer
+    TimePoint storeAnswersSince_{}; ///< of the last confirmations without a break
     StoreEra confirmedEra_; ///< see PeerStatus
     std::map<ServiceName, PrimaryReachability> ownReachability_;
     PrimaryPermission permission_;
--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -290,12 +290,6 @@
         handlers_.changed();
 }
 
-void GroupFeed::dropMissing()
-{
-    if (replica_.dropMissing())
-        handlers_.changed();
-}
-
 std::optional<StoreVersion> GroupFeed::versionOf(const std::string &name) const
 {
     const auto found = items().find(name);
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -41,9 +41,8 @@
     void check(Milliseconds wait, std::function<void(bool answered)> callback);
     /// Applies a change that this daemon made in the store, before a watch reports it.
     void applyOwnChange(const StoredItem &item);
-    /// See GroupReplica::dropCarried() and dropMissing().
+    /// See GroupReplica::dropCarried().
     void dropCarried();
-    void dropMissing();
 
     const GroupReplica &replica() const { return replica_; }
     const GroupReplica::Items &items() const { return replica_.items(); }
--- a/src/takeover/group_replica.cpp
+++ b/src/takeover/group_replica.cpp
@@ -52,7 +52,8 @@
     carried_.clear();
     for (const auto &[name, item] : items_) {
         const auto found = restored.find(name);
-        if (found == restored.end() || !found->second->version.isNewerThan(item.version))
+        if (found == restored.end() ? carriesMissing()
+                                    : !found->second->version.isNewerThan(item.version))
             carried_[name] = item;
     }
     unchanged_.clear();
@@ -66,7 +67,6 @@
     removalHorizon_ = state.version;
     formerContent_ = contentVersion_;
     carries_ = true;
-    carriesMissing_ = true;
 }
 
 void GroupReplica::replaceStored(const GroupSnapshot &state, bool entersEra)
@@ -161,7 +161,7 @@
         if (!carries_ || item.version.stored.era >= version_.era || removed_.count(item.name) > 0)
             continue;
         const auto stored = stored_.find(item.name);
-        if (stored == stored_.end() ? !carriesMissing_
+        if (stored == stored_.end() ? !carriesMissing()
                                     : stored->second.version.isNewerThan(item.version))
             continue;
         const auto known = carried_.find(item.name);
@@ -355,17 +355,6 @@
     return true;
 }
 
-bool GroupReplica::dropMissing()
-{
-    carriesMissing_ = false;
-    const auto dropped =
-        std::erase_if(carried_, [&](const auto &entry) { return stored_.count(entry.first) == 0; });
-    if (dropped == 0)
-        return false;
-    refreshAll();
-    return true;
-}
-
 bool GroupReplica::countsAsRemoved(const StoredItem &item) const
 {
     const auto removal = removedEarlier_.find(item.name);
--- a/src/takeover/group_replica.h
+++ b/src/takeover/group_replica.h
@@ -15,7 +15,8 @@
 ///
 /// When the store was restored from an older copy, the replica enters a new era: it takes what the
 /// store holds now, but keeps each object that it knows a later change of, until that change is in
-/// the store again. Such objects are called carried. Performs no I/O.
+/// the store again. Such objects are called carried. Endpoints that the store does not hold at all
+/// are not kept: they register again, or are gone. Performs no I/O.
 class GroupReplica
 {
 public:
@@ -72,8 +73,6 @@
     /// From now on, what the store holds in this era is in force. Returns whether objects in force
     /// may have changed.
     bool dropCarried();
-    /// As dropCarried(), but only for objects that the store does not hold at all.
-    bool dropMissing();
 
 private:
     struct Removal
@@ -91,6 +90,7 @@
     bool raiseContentVersion(StoreVersion version);
     bool needsAll(const ReplicaState &peer) const;
     bool lacks(const ReplicaState &peer, const StoredItem &item) const;
+    bool carriesMissing() const { return group_ != ObjectGroup::Endpoints; }
     bool countsAsRemoved(const StoredItem &item) const;
     void refresh(const std::string &name);
     void refreshAll();
@@ -112,7 +112,6 @@
     StoreVersion formerContent_; ///< content version when the former era ended for this replica
     std::uint64_t carriedDigest_ = 0;
     bool carries_ = true; ///< carried objects are accepted in this era
-    bool carriesMissing_ = true; ///< also those that the store does not hold at all
 };
 
 } // namespace pistachiowood
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -11,8 +11,8 @@
 // How long the primary must fail to answer before the peers are asked: a busy endpoint answers
 // within a second.
 constexpr Milliseconds primaryFailureTimeout{800};
-// How long the registration of the primary must be missing. Registrations that expired in an outage
-// of the store, and come back within two seconds of its end, are left out by registrationsCurrent.
+// How long the primary must be missing. It is so only some time after its registration is gone; see
+// EndpointRegistry.
 constexpr Milliseconds missingRegistrationTimeout{300};
 // How long another daemon's replacement may stay unfinished before it counts as abandoned; longer
 // than a replacement normally takes.
@@ -102,9 +102,10 @@
         return input.registrationsCurrent && !input.candidates.empty() ? Reason::Failed
                                                                        : Reason::None;
     if (primary->draining) {
-        const bool successor =
-            std::any_of(input.candidates.begin(), input.candidates.end(),
-                        [](const ReplacementCandidate &candidate) { return !candidate.draining; });
+        const bool successor = std::any_of(input.candidates.begin(), input.candidates.end(),
+                                           [](const ReplacementCandidate &candidate) {
+                                               return !candidate.draining && candidate.registered;
+                                           });
         return successor ? Reason::Planned : Reason::None;
     }
     if (!input.primaryFailingSince
@@ -273,7 +274,7 @@
         if (statuses_.count(candidate.id) == 0)
             continue;
         ++answered;
-        if (candidate.draining || notPromotable_.count(candidate.id) > 0)
+        if (candidate.draining || !candidate.registered || notPromotable_.count(candidate.id) > 0)
             continue;
         if (!best || preference(candidate) > preference(*best))
             best = &candidate;
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -19,6 +19,7 @@
     EndpointId id;
     bool draining = false;
     unsigned endpointsInRegion = 0; ///< endpoints of the service in the same region
+    bool registered = true; ///< false while its registration is missing
 };
 
 /// State that a replacement decides from; collected anew for each step.
--- a/src/takeover/records_recovery.cpp
+++ b/src/takeover/records_recovery.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 // Each daemon acts this much later than the one before it in rank, so that normally only one does.
-constexpr Milliseconds delayPerRank{200};
+constexpr Milliseconds delayPerRank{100};
 constexpr Milliseconds askPeersInterval{300};
 
 } // namespace
--- a/src/takeover/records_recovery.h
+++ b/src/takeover/records_recovery.h
@@ -57,7 +57,7 @@
     static constexpr Milliseconds leaseEndDelay =
         PromotionLease::duration + PromotionLease::safetyMargin;
     /// Time in which an order takes effect that a daemon sent before it entered the era or ended.
-    static constexpr Milliseconds orderEffectDelay{2000};
+    static constexpr Milliseconds orderEffectDelay{1500};
 
     RecoveryAction step(const RecoveryInput &input);
 
--- a/src/takeover/recovery_runner.cpp
+++ b/src/takeover/recovery_runner.cpp
@@ -98,11 +98,7 @@
 
 void RecoveryRunner::verify(const PrimaryRecord &primary)
 {
-    std::vector<EndpointId> endpoints;
-    for (const auto &[id, entry] : context_.endpoints) {
-        if (entry.service == primary.service)
-            endpoints.push_back(id);
-    }
+    const std::vector<EndpointId> endpoints = context_.endpointsOf(primary.service);
     if (endpoints.empty()) {
         announce(primary);
         return;
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -134,12 +134,12 @@
 void ReplacementRunner::createRecord(const ServiceLimits &service, ServiceState &state)
 {
     const TimePoint now = context_.clock.now();
+    const EndpointRegistry::Endpoints &endpoints = context_.endpoints.endpoints();
     const auto primary =
-        std::find_if(context_.endpoints.begin(), context_.endpoints.end(), [&](const auto &entry) {
-            return entry.second.service == service.name && entry.second.primary;
+        std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) {
+            return endpoint.second.entry.service == service.name && endpoint.second.entry.primary;
         });
-    if (primary == context_.endpoints.end() || context_.records().failing()
-        || state.creatingRecord) {
+    if (primary == endpoints.end() || context_.records().failing() || state.creatingRecord) {
         state.creatableSince = now;
         return;
     }
@@ -172,14 +172,15 @@
     input.syncReplicas = service.syncReplicas;
     std::map<RegionName, unsigned> endpointsPerRegion;
     const FleetSettings &settings = context_.settings;
-    for (const auto &[id, entry] : context_.endpoints) {
-        if (entry.service == service.name)
-            ++endpointsPerRegion[settings.regionOf(entry.zone)];
+    for (const EndpointId &id : context_.endpointsOf(service.name)) {
+        const EndpointEntry &entry = context_.endpoints.endpoints().at(id).entry;
+        ++endpointsPerRegion[settings.regionOf(entry.zone)];
     }
-    for (const auto &[id, entry] : context_.endpoints) {
-        if (entry.service == service.name)
-            input.candidates.push_back(
-                {id, entry.draining, endpointsPerRegion[settings.regionOf(entry.zone)]});
+    for (const EndpointId &id : context_.endpointsOf(service.name)) {
+        const RegisteredEndpoint &endpoint = context_.endpoints.endpoints().at(id);
+        input.candidates.push_back({id, endpoint.entry.draining,
+                                    endpointsPerRegion[settings.regionOf(endpoint.entry.zone)],
+                                    !endpoint.missingSince.has_value()});
     }
     const GroupFeed &endpoints = context_.feed(ObjectGroup::Endpoints);
     input.registrationsCurrent = endpoints.watching() && !endpoints.failing()
