--- a/review/2/case.py
+++ b/review/2/case.py
@@ -34,9 +34,9 @@
 
 async def case(world):
     service = world.service("ledger", sync=1)
-    primary = await service.add("i-a0", "tbs-didube", primary=True)
-    leaving = await service.add("i-b0", "tbs-gldani")
-    deaf = await service.add("i-c0", "kut-east")
+    primary = await service.add("i-a0", "rajkot", primary=True)
+    leaving = await service.add("i-b0", "junagadh")
+    deaf = await service.add("i-c0", "mehsana")
     world.configure([("orders", "ledger", "primary")])
     await world.start_nodes()
     acknowledged = []
