Review: a script that fails for another reason exits with 2

Seen: an unexpected error of a stand-in would have ended a script with 1, as if the rule were broken.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -652,9 +652,10 @@
             return BROKEN if broken else HELD
 
     async def run_and_exit():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             code = await run()
-        except (NotRun, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             print("the case could not run:", repr(error))
             code = NOT_RUN
         sys.stdout.flush()
