Choose the next primary by the longest log of all endpoints that answered

Cause: PrimaryReplacement::choosePrimary() counted endpoints that drain, whose registration is missing or which the platform had refused among the answers, which completed the survey, but skipped them when it looked for the longest log. Nothing compared the position of the chosen endpoint with the highest one answered.

Evidence: four tests in primary_replacement_test.cpp, one for each path, all failing on the former code and passing now. The survey and the endpoints' answers were ruled out: the tests hand the decision the right answers.

Change: the decision is a function of its own, choosePrimary() in primary_choice.*, of evidence in which every endpoint that answered counts. The longest log leads; draining, registration and distance choose between equal logs only. A demoted primary that alone holds the end of the log leads again. An endpoint that the platform refused is tried again after 1 s.

--- /dev/null
+++ b/src/takeover/primary_choice.h
@@ -0,0 +1,77 @@
+#ifndef PISTACHIOWOOD_TAKEOVER_PRIMARY_CHOICE_H
+#define PISTACHIOWOOD_TAKEOVER_PRIMARY_CHOICE_H
+
+#include "gateway/statement.h"
+
+#include <pistachiowood/clock.h>
+#include <pistachiowood/ids.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace pistachiowood {
+
+/// A registered endpoint of the service, which may become its primary.
+struct ReplacementCandidate
+{
+    EndpointId id;
+    bool draining = false;
+    unsigned endpointsInRegion = 0; ///< endpoints of the service in the same region
+    bool registered = true; ///< false while its registration is missing
+};
+
+/// What is known of the logs of a service while its primary is being replaced. No daemon uses the
+/// former primary any more, so that no further commit is acknowledged.
+struct PrimaryEvidence
+{
+    EndpointId formerPrimary; ///< the last one that the daemons used
+    std::vector<ReplacementCandidate> candidates; ///< registered endpoints of the service
+    std::map<EndpointId, ReplicationStatus> statuses; ///< of the endpoints that answered
+    std::set<EndpointId> refused; ///< endpoints that the platform lately did not promote
+    unsigned syncReplicas = 0; ///< replicas that hold a commit before it is acknowledged
+    Milliseconds waited{0}; ///< time since the endpoints were first asked
+    bool demotionTried = false; ///< the former primary has been asked to step down
+    /// End of the former primary's log, told when it stepped down; unset if it did not answer.
+    std::optional<TermPosition> finalPosition;
+};
+
+/// Why no endpoint becomes the primary yet.
+enum class ChoiceWait {
+    None,
+    Answers, ///< no endpoint that could be promoted has answered, or more may answer in time
+    CatchUp, ///< the replicas may still receive the end of the former primary's log
+    Copies, ///< too many of the endpoints that may hold acknowledged commits did not answer
+    LongestLog, ///< the endpoint with the longest log cannot be promoted now
+};
+
+/// Name of the reason for logs.
+std::string_view choiceWaitName(ChoiceWait wait);
+
+/// Next step towards a primary.
+struct PrimaryChoice
+{
+    enum class Action {
+        Wait,
+        Publish, ///< the endpoint leads already
+        Demote, ///< end the former primary's log, with `term`
+        Promote,
+    };
+
+    Action action = Action::Wait;
+    EndpointId endpoint;
+    Term term;
+    ChoiceWait wait = ChoiceWait::None;
+};
+
+/// Decides which endpoint leads the service next. An endpoint whose log lacks commits that an
+/// endpoint that answered holds is never chosen, whether that one drains, is not registered or was
+/// the former primary; where the service has synchronous replicas, nor is one as long as the
+/// endpoints that did not answer may hold acknowledged commits that it lacks. Performs no I/O.
+PrimaryChoice choosePrimary(const PrimaryEvidence &evidence);
+
+} // namespace pistachiowood
+
+#endif
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -30,15 +30,11 @@
 constexpr Milliseconds peerAnswerTimeout{800};
 constexpr Milliseconds retryDelay{100};
 constexpr Milliseconds surveyInterval{50}; // between status queries to the endpoints
-// Replicas that do not answer the survey within this time are left out; it exceeds the connect
-// timeout of one second.
-constexpr Milliseconds replicaAnswerTimeout{1200};
-// How long to wait for a replica to receive the end of a demoted primary's log: replicas are tens
-// of milliseconds behind, and a draining endpoint keeps running for seconds.
-constexpr Milliseconds catchUpTimeout{2000};
 // After this time without an effect, another replica may be chosen; the platform promotes within
 // a few hundred milliseconds.
 constexpr Milliseconds promotionEffectTimeout{4000};
+// After this time, an endpoint that the platform could not promote is tried again.
+constexpr Milliseconds refusalRetryDelay{1000};
 
 } // namespace
 
@@ -185,7 +181,7 @@
     surveySince_.reset();
     finalPosition_.reset();
     demotionTried_ = false;
-    notPromotable_.clear();
+    refusedUntil_.clear();
     if (input.record->replacing) {
         announcedAt_ = input.recordSince;
         announcedVersion_ = input.recordVersion;
@@ -219,7 +215,7 @@
     if (!surveySince_)
         surveySince_ = input.now;
     if (!statuses_.empty()) {
-        if (auto command = choosePrimary(input))
+        if (auto command = followChoice(input))
             return command;
     }
     if (input.now < nextSurvey_)
@@ -233,68 +229,45 @@
     return SurveyCommand{endpoints};
 }
 
-std::optional<ReplacementCommand> PrimaryReplacement::choosePrimary(const ReplacementInput &input)
+std::optional<ReplacementCommand> PrimaryReplacement::followChoice(const ReplacementInput &input)
 {
-    Term newestTerm;
-    for (const auto &[id, status] : statuses_)
-        newestTerm = std::max(newestTerm, status.term);
-    const auto old = statuses_.find(oldPrimary_);
-    const bool oldDraining =
-        std::any_of(input.candidates.begin(), input.candidates.end(),
-                    [&](const ReplacementCandidate &candidate) {
-                        return candidate.id == oldPrimary_ && candidate.draining;
-                    });
-    // An endpoint that already is the primary of the newest term is published without a promotion:
-    // an earlier lease holder may have promoted it without publishing it, or the old primary has
-    // restarted with its whole log.
-    for (const auto &[id, status] : statuses_) {
-        if (status.primary && status.term == newestTerm && !(id == oldPrimary_ && oldDraining)) {
-            chosen_ = id;
-            enter(Stage::Publishing, input.now);
-            return publish(input);
-        }
-    }
-    if (old != statuses_.end() && old->second.primary && !demotionTried_) {
+    const PrimaryChoice choice = choosePrimary(collectEvidence(input));
+    wait_ = choice.wait;
+    switch (choice.action) {
+    case PrimaryChoice::Action::Wait:
+        break;
+    case PrimaryChoice::Action::Publish:
+        chosen_ = choice.endpoint;
+        enter(Stage::Publishing, input.now);
+        return publish(input);
+    case PrimaryChoice::Action::Demote:
         demotionTried_ = true;
         enter(Stage::Demoting, input.now);
         pending_ = true;
-        return DemoteCommand{oldPrimary_, Term(newestTerm.value() + 1)};
+        return DemoteCommand{choice.endpoint, choice.term};
+    case PrimaryChoice::Action::Promote:
+        chosen_ = choice.endpoint;
+        enter(Stage::Promoting, input.now);
+        return promote(input);
     }
-    const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_);
-    const ReplacementCandidate *best = nullptr;
-    unsigned answered = 0;
-    unsigned replicas = 0;
-    const auto preference = [&](const ReplacementCandidate &candidate) {
-        return std::tuple(statuses_.at(candidate.id).received, candidate.endpointsInRegion);
-    };
-    for (const ReplacementCandidate &candidate : input.candidates) {
-        if (candidate.id == oldPrimary_)
-            continue;
-        ++replicas;
-        if (statuses_.count(candidate.id) == 0)
-            continue;
-        ++answered;
-        if (candidate.draining || !candidate.registered || notPromotable_.count(candidate.id) > 0)
-            continue;
-        if (!best || preference(candidate) > preference(*best))
-            best = &candidate;
+    return std::nullopt;
+}
+
+PrimaryEvidence PrimaryReplacement::collectEvidence(const ReplacementInput &input) const
+{
+    PrimaryEvidence evidence{
+        .formerPrimary = oldPrimary_,
+        .candidates = input.candidates,
+        .statuses = statuses_,
+        .syncReplicas = input.syncReplicas,
+        .waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_),
+        .demotionTried = demotionTried_,
+        .finalPosition = finalPosition_};
+    for (const auto &[endpoint, until] : refusedUntil_) {
+        if (input.now < until)
+            evidence.refused.insert(endpoint);
     }
-    if (!best)
-        return std::nullopt;
-    // Every acknowledged commit is on at least syncReplicas replicas, so up to syncReplicas - 1 of
-    // them may be missing from the survey and one that answered still has it. Without synchronous
-    // replicas, any number may be missing.
-    const unsigned maxMissing = input.syncReplicas > 0 ? input.syncReplicas - 1 : replicas;
-    if (replicas - answered > maxMissing)
-        return std::nullopt;
-    if (answered < replicas && waited < replicaAnswerTimeout)
-        return std::nullopt;
-    if (finalPosition_ && statuses_.at(best->id).received < *finalPosition_
-        && waited < catchUpTimeout)
-        return std::nullopt;
-    chosen_ = best->id;
-    enter(Stage::Promoting, input.now);
-    return promote(input);
+    return evidence;
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &)
@@ -387,7 +360,7 @@
         nextSurvey_ = now + surveyInterval;
         break;
     case PromotionOutcome::NotPromotable:
-        notPromotable_.insert(chosen_);
+        refusedUntil_[chosen_] = now + refusalRetryDelay;
         statuses_.clear();
         enter(Stage::Surveying, now);
         break;
@@ -420,6 +393,7 @@
     enter(Stage::Monitoring, now);
     reason_ = Reason::None;
     reasonSince_.reset();
+    wait_ = ChoiceWait::None;
 }
 
 } // namespace pistachiowood
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -1,27 +1,17 @@
 #ifndef PISTACHIOWOOD_TAKEOVER_PRIMARY_REPLACEMENT_H
 #define PISTACHIOWOOD_TAKEOVER_PRIMARY_REPLACEMENT_H
 
-#include "gateway/statement.h"
 #include "takeover/platform_store.h"
+#include "takeover/primary_choice.h"
 #include "takeover/records.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <variant>
 #include <vector>
 
 namespace pistachiowood {
 
-/// A registered endpoint of the service, which may become its primary.
-struct ReplacementCandidate
-{
-    EndpointId id;
-    bool draining = false;
-    unsigned endpointsInRegion = 0; ///< endpoints of the service in the same region
-    bool registered = true; ///< false while its registration is missing
-};
-
 /// State that a replacement decides from; collected anew for each step.
 struct ReplacementInput
 {
@@ -86,9 +76,9 @@
                  DemoteCommand, PromoteCommand, PublishCommand>;
 
 /// Replaces the primary of one service: decides when to do so, announces it, waits until no daemon
-/// may use the old primary, promotes the replica with the longest log and publishes it. Performs no
-/// I/O: step() returns the command to execute, and the caller passes its result to the matching
-/// handler.
+/// may use the old primary, promotes the endpoint that choosePrimary() names and publishes it.
+/// Performs no I/O: step() returns the command to execute, and the caller passes its result to the
+/// matching handler.
 class PrimaryReplacement
 {
 public:
@@ -118,6 +108,8 @@
     void handlePublished(bool published, TimePoint now);
 
     Stage stage() const { return stage_; }
+    /// Why an announced replacement has not chosen a primary yet.
+    ChoiceWait wait() const { return wait_; }
     /// Whether this daemon may have announced a replacement that it has not finished.
     bool announced() const
     {
@@ -138,7 +130,8 @@
     std::optional<ReplacementCommand> announce(const ReplacementInput &input);
     std::optional<ReplacementCommand> awaitAcknowledgements(const ReplacementInput &input);
     std::optional<ReplacementCommand> survey(const ReplacementInput &input);
-    std::optional<ReplacementCommand> choosePrimary(const ReplacementInput &input);
+    std::optional<ReplacementCommand> followChoice(const ReplacementInput &input);
+    PrimaryEvidence collectEvidence(const ReplacementInput &input) const;
     std::optional<ReplacementCommand> promote(const ReplacementInput &input);
     std::optional<ReplacementCommand> verify(const ReplacementInput &input);
     std::optional<ReplacementCommand> publish(const ReplacementInput &input);
@@ -165,8 +158,10 @@
     std::optional<TimePoint> surveySince_;
     std::optional<TermPosition> finalPosition_; ///< end of the demoted primary's log
     bool demotionTried_ = false;
-    std::set<EndpointId> notPromotable_; ///< endpoints that the platform cannot promote
+    /// Endpoints that the platform could not promote, and when to try them again.
+    std::map<EndpointId, TimePoint> refusedUntil_;
     EndpointId chosen_;
+    ChoiceWait wait_ = ChoiceWait::None;
 };
 
 } // namespace pistachiowood
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -209,6 +209,74 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == second);
 }
 
+// Guards against the loss of acknowledged commits that only a draining replica holds.
+TEST(PrimaryReplacement, drainingReplicaWithTheLongestLogIsPassedOver)
+{
+    for (const unsigned syncReplicas : {0U, 1U}) {
+        replacement = PrimaryReplacement(ServiceName("db"), VmId("vm"));
+        input = {};
+        setup();
+        input.syncReplicas = syncReplicas;
+        announce();
+        input.candidates[1].draining = true;
+        input.allAcknowledged = true;
+        survey({{first, replicaAt(9)}, {second, replicaAt(7)}});
+        input.now += 2s;
+        CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+    }
+}
+
+// Guards against the loss of acknowledged commits that only a replica holds whose registration has
+// expired, for example while the store was away.
+TEST(PrimaryReplacement, replicaWithTheLongestLogButNoRegistrationIsPassedOver)
+{
+    input.syncReplicas = 1;
+    announce();
+    input.candidates[1].registered = false;
+    input.allAcknowledged = true;
+    survey({{first, replicaAt(9)}, {second, replicaAt(7)}});
+    input.now += 2s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+}
+
+// Guards against a planned change that loses the end of the log: no replica received it in time,
+// and the former primary that holds it was passed over.
+TEST(PrimaryReplacement, replicaThatDidNotCatchUpIsPromotedBesideTheDemotedPrimary)
+{
+    input.syncReplicas = 1;
+    announce();
+    input.allAcknowledged = true;
+    survey({{oldPrimary, {true, Term(1), {Term(1), LogPosition(9)}}},
+            {first, replicaAt(7)},
+            {second, replicaAt(8)}});
+    CHECK_TRUE(nextCommandIs<DemoteCommand>());
+    replacement.handleDemoted(replicaAt(9), input.now);
+    input.now += 100ms;
+    survey({{oldPrimary, replicaAt(9)}, {first, replicaAt(7)}, {second, replicaAt(8)}});
+    input.now += 3s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == oldPrimary);
+}
+
+// Guards against the loss of acknowledged commits after the platform refused to promote the replica
+// that holds them, and against a service that stays without a primary after such a refusal.
+TEST(PrimaryReplacement, shorterLogIsPromotedAfterARefusal)
+{
+    input.syncReplicas = 1;
+    announce();
+    input.allAcknowledged = true;
+    const std::map<EndpointId, ReplicationStatus> statuses{{first, replicaAt(9)},
+                                                           {second, replicaAt(7)}};
+    survey(statuses);
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+    replacement.handlePromoted(PromotionOutcome::NotPromotable, input.now);
+    input.now += 100ms;
+    survey(statuses);
+    input.now += 100ms;
+    survey(statuses);
+    input.now += 3s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -106,7 +106,9 @@
             std::make_unique<PrimaryReplacement>(service.name, context_.settings.vm);
     if (leaving_ && !state.replacement->announced())
         return; // left to the other daemons
-    if (const auto command = state.replacement->step(collectInput(service, state)))
+    const auto command = state.replacement->step(collectInput(service, state));
+    logWait(service.name, state);
+    if (command)
         execute(service.name, *command);
 }
 
@@ -237,6 +239,14 @@
         logEvent(Event::ReplacementStep, {{"service", service.value()}, {"step", step}});
 }
 
+void ReplacementRunner::logWait(const ServiceName &service, ServiceState &state) const
+{
+    const ChoiceWait wait = state.replacement->wait();
+    if (std::exchange(state.loggedWait, wait) == wait || wait == ChoiceWait::None)
+        return;
+    logEvent(Event::PrimaryWithheld, {{"service", service.value()}, {"for", choiceWaitName(wait)}});
+}
+
 void ReplacementRunner::execute(const ServiceName &service, const ReplacementCommand &command)
 {
     logStep(service, command);
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -57,6 +57,7 @@
         TimePoint creatableSince{}; ///< since when the record is missing and could be created
         bool creatingRecord = false;
         bool waitsForLease = false;
+        ChoiceWait loggedWait = ChoiceWait::None;
     };
     void tickService(const ServiceLimits &service);
     void scheduleStep(const ServiceName &service);
@@ -64,6 +65,7 @@
     ReplacementInput collectInput(const ServiceLimits &service, const ServiceState &state);
     PrimaryReplacement *replacementOf(const ServiceName &service);
     void logStep(const ServiceName &service, const ReplacementCommand &command) const;
+    void logWait(const ServiceName &service, ServiceState &state) const;
     void execute(const ServiceName &service, const ReplacementCommand &command);
     void acquireLease();
     void putPrimaryRecord(PrimaryRecord record, FleetContext::RecordCallback callback);
