Demote a draining primary only when a replica that stays keeps up

Cause: a planned replacement asked whether another endpoint is registered and does not drain, and nothing of its log.

Change: before it is announced, the holder of the lease asks the endpoints. It announces once a replica that stays has received what the primary held when it was first asked; a primary that does not tell its position is replaced after 1 s, one that fails at once.

Evidence: primaryIsDemotedWhileNoReplicaKeepsUp, crashedPrimaryIsKeptWhileAllReplicasDrain.

Ruled out: asking the registrations for positions (they hold none); a limit on the lag in commits (it depends on load).

--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -17,6 +17,8 @@
 // How long another daemon's replacement may stay unfinished before it counts as abandoned; longer
 // than a replacement normally takes.
 constexpr Milliseconds unfinishedReplacementTimeout{5000};
+// How long a planned replacement waits for the draining primary to tell its position.
+constexpr Milliseconds primaryPositionTimeout{1000};
 // Each daemon acts this much later than the one before it in rank, so that normally only one does.
 constexpr Milliseconds delayPerRank{200};
 // Extra delay of a daemon that has not known the members for the longest lifetime of a permission.
@@ -36,6 +38,18 @@
 // After this time, an endpoint that the platform could not promote is tried again.
 constexpr Milliseconds refusalRetryDelay{1000};
 
+bool primaryFails(const ReplacementInput &input)
+{
+    return input.primaryFailingSince
+           && input.now - *input.primaryFailingSince >= primaryFailureTimeout;
+}
+
+// Whether the endpoint can take the place of a draining primary.
+bool isSuccessor(const ReplacementCandidate &candidate)
+{
+    return !candidate.draining && candidate.registered;
+}
+
 } // namespace
 
 PrimaryReplacement::PrimaryReplacement(ServiceName service, VmId self)
@@ -97,17 +111,11 @@
     if (primary == input.candidates.end())
         return input.registrationsCurrent && !input.candidates.empty() ? Reason::Failed
                                                                        : Reason::None;
-    if (primary->draining) {
-        const bool successor = std::any_of(input.candidates.begin(), input.candidates.end(),
-                                           [](const ReplacementCandidate &candidate) {
-                                               return !candidate.draining && candidate.registered;
-                                           });
-        return successor ? Reason::Planned : Reason::None;
-    }
-    if (!input.primaryFailingSince
-        || input.now - *input.primaryFailingSince < primaryFailureTimeout)
-        return Reason::None;
-    return Reason::Failed;
+    const bool successor =
+        std::any_of(input.candidates.begin(), input.candidates.end(), isSuccessor);
+    if (primary->draining && successor)
+        return Reason::Planned;
+    return primaryFails(input) ? Reason::Failed : Reason::None;
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::monitor(const ReplacementInput &input)
@@ -160,6 +168,8 @@
         return std::nullopt;
     }
     if (input.leaseHeld) {
+        statuses_.clear();
+        drainPosition_.reset();
         enter(Stage::Announcing, input.now);
         return announce(input);
     }
@@ -171,10 +181,17 @@
 
 std::optional<ReplacementCommand> PrimaryReplacement::announce(const ReplacementInput &input)
 {
-    if (findReason(input) == Reason::None) {
+    const Reason reason = findReason(input);
+    if (reason == Reason::None) {
         reset(input.now); // the primary recovered while the announcement waited
         return std::nullopt;
     }
+    if (reason == Reason::Planned && !primaryFails(input) && !successorKeepsUp(input)) {
+        if (input.leaseHeld)
+            return surveyCandidates(input);
+        reset(input.now);
+        return std::nullopt;
+    }
     oldPrimary_ = input.record->primary;
     halfAcknowledgedAt_.reset();
     statuses_.clear();
@@ -194,6 +211,24 @@
     return AnnounceCommand{{service_, oldPrimary_, true, self_, ++attempt_}};
 }
 
+// Whether an endpoint that can take the place of the primary has received what the primary held
+// when it was first asked. Otherwise the service would be left without a primary until it has.
+bool PrimaryReplacement::successorKeepsUp(const ReplacementInput &input)
+{
+    const EndpointId &primary = input.record->primary;
+    if (const auto found = statuses_.find(primary); found != statuses_.end() && !drainPosition_)
+        drainPosition_ = found->second.received;
+    if (!drainPosition_)
+        return input.now - stageSince_ >= primaryPositionTimeout;
+    return std::any_of(input.candidates.begin(), input.candidates.end(),
+                       [&](const ReplacementCandidate &candidate) {
+                           const auto found = statuses_.find(candidate.id);
+                           return candidate.id != primary && isSuccessor(candidate)
+                                  && found != statuses_.end()
+                                  && found->second.received >= *drainPosition_;
+                       });
+}
+
 std::optional<ReplacementCommand>
 PrimaryReplacement::awaitAcknowledgements(const ReplacementInput &input)
 {
@@ -218,6 +253,12 @@
         if (auto command = followChoice(input))
             return command;
     }
+    return surveyCandidates(input);
+}
+
+std::optional<ReplacementCommand>
+PrimaryReplacement::surveyCandidates(const ReplacementInput &input)
+{
     if (input.now < nextSurvey_)
         return std::nullopt;
     std::vector<EndpointId> endpoints;
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -120,7 +120,7 @@
     enum class Reason {
         None,
         Unfinished, ///< a replacement is announced but not published
-        Planned, ///< the primary drains and another endpoint can take its place
+        Planned, ///< the primary drains and another endpoint may take its place
         Failed, ///< the primary does not answer, or its registration is gone
     };
 
@@ -128,8 +128,10 @@
     std::optional<ReplacementCommand> monitor(const ReplacementInput &input);
     std::optional<ReplacementCommand> acquireLease(const ReplacementInput &input);
     std::optional<ReplacementCommand> announce(const ReplacementInput &input);
+    bool successorKeepsUp(const ReplacementInput &input);
     std::optional<ReplacementCommand> awaitAcknowledgements(const ReplacementInput &input);
     std::optional<ReplacementCommand> survey(const ReplacementInput &input);
+    std::optional<ReplacementCommand> surveyCandidates(const ReplacementInput &input);
     std::optional<ReplacementCommand> followChoice(const ReplacementInput &input);
     PrimaryEvidence collectEvidence(const ReplacementInput &input) const;
     std::optional<ReplacementCommand> promote(const ReplacementInput &input);
@@ -153,6 +155,8 @@
     std::optional<TimePoint> announcedAt_;
     std::optional<TimePoint> halfAcknowledgedAt_;
     StoreVersion announcedVersion_;
+    /// Position of the draining primary when a planned replacement first asked it.
+    std::optional<TermPosition> drainPosition_;
     EndpointId oldPrimary_;
     std::map<EndpointId, ReplicationStatus> statuses_;
     std::optional<TimePoint> surveySince_;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -18,6 +18,11 @@
     return {false, Term(1), {Term(1), LogPosition(number)}};
 }
 
+ReplicationStatus primaryAt(std::uint64_t number)
+{
+    return {true, Term(1), {Term(1), LogPosition(number)}};
+}
+
 } // namespace
 
 TEST_GROUP(PrimaryReplacement)
@@ -51,13 +56,20 @@
         return std::get<T>(*command);
     }
 
-    // Starts a planned replacement and announces it.
-    void announce()
+    void startPlannedReplacement()
     {
         input.candidates.front().draining = true;
         CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
         replacement.handleLeaseResult(true, input.now);
         input.leaseHeld = true;
+    }
+
+    // Starts a planned replacement and announces it.
+    void announce()
+    {
+        startPlannedReplacement();
+        survey({{oldPrimary, primaryAt(4)}, {first, replicaAt(4)}});
+        input.now += 100ms;
         CHECK_TRUE(nextCommandIs<AnnounceCommand>());
         input.recordVersion = storeVersion(6);
         input.record->replacing = true;
@@ -162,9 +174,7 @@
 {
     announce();
     input.allAcknowledged = true;
-    survey({{oldPrimary, {true, Term(1), {Term(1), LogPosition(9)}}},
-            {first, replicaAt(8)},
-            {second, replicaAt(8)}});
+    survey({{oldPrimary, primaryAt(9)}, {first, replicaAt(8)}, {second, replicaAt(8)}});
     CHECK_TRUE(nextCommand<DemoteCommand>().term == Term(2));
     replacement.handleDemoted(replicaAt(9), input.now);
     input.now += 100ms;
@@ -246,9 +256,7 @@
     input.syncReplicas = 1;
     announce();
     input.allAcknowledged = true;
-    survey({{oldPrimary, {true, Term(1), {Term(1), LogPosition(9)}}},
-            {first, replicaAt(7)},
-            {second, replicaAt(8)}});
+    survey({{oldPrimary, primaryAt(9)}, {first, replicaAt(7)}, {second, replicaAt(8)}});
     CHECK_TRUE(nextCommandIs<DemoteCommand>());
     replacement.handleDemoted(replicaAt(9), input.now);
     input.now += 100ms;
@@ -277,6 +285,48 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
 }
 
+// Guards against a service without a primary for seconds: a draining primary was demoted although
+// the only replica that could follow it received nothing.
+TEST(PrimaryReplacement, primaryIsDemotedWhileNoReplicaKeepsUp)
+{
+    startPlannedReplacement();
+    for (std::uint64_t written = 9; written < 40; ++written) {
+        survey({{oldPrimary, primaryAt(written)}, {first, replicaAt(7)}, {second, replicaAt(8)}});
+        input.now += 100ms;
+    }
+    survey({{oldPrimary, primaryAt(40)}, {second, replicaAt(9)}});
+    input.now += 100ms;
+    CHECK_TRUE(nextCommandIs<AnnounceCommand>());
+}
+
+// Guards against a draining primary that is not replaced because it does not tell its position.
+TEST(PrimaryReplacement, busyDrainingPrimaryIsKept)
+{
+    startPlannedReplacement();
+    survey({{first, replicaAt(7)}});
+    input.now += 2s;
+    CHECK_TRUE(nextCommandIs<AnnounceCommand>());
+}
+
+// Guards against a crashed primary that is kept because it drained before.
+TEST(PrimaryReplacement, crashedDrainingPrimaryIsKept)
+{
+    startPlannedReplacement();
+    survey({{oldPrimary, primaryAt(9)}, {first, replicaAt(7)}, {second, replicaAt(7)}});
+    input.now += 2s;
+    input.primaryFailingSince = input.now - 1s;
+    CHECK_TRUE(nextCommandIs<AnnounceCommand>());
+}
+
+// Guards against the same where all replicas drain as well.
+TEST(PrimaryReplacement, crashedPrimaryIsKeptWhileAllReplicasDrain)
+{
+    for (ReplacementCandidate &candidate : input.candidates)
+        candidate.draining = true;
+    input.primaryFailingSince = input.now - 1s;
+    CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
