Count the logs that may hold acknowledged commits, whoever answers now

What callers would see, with sync_replicas: acknowledged commits are gone after a change of primary, though the daemons knew that the log they chose may lack them.

Cause: the survey was complete when the endpoints that are registered now had answered. (a) A replica that had left was not missed. (b) One that had restarted without its log counted as an answer. (c) The way that publishes an endpoint which calls itself primary asked nothing: a leader of an older term, or a primary that had restarted without its log, was used again while others held the commits, the latter also without synchronous replicas.

Change: one rule for promotion and publication, isComplete(). A log is complete if it reaches the end of the former primary's log, or if it is the longest that answered and no more than sync_replicas logs are unknown: the former primary's, those of endpoints that do not answer, and those that were lost while the primary had already reported a position beyond the log in question. The registry tells who left or restarted (event 1308), the primaries' reports tell the position; each daemon remembers both. An endpoint whose term is newer than the former primary's was promoted by this rule and is published as before.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -31,6 +31,7 @@
           "registration of an endpoint is gone; it stays in use for a moment")                             \
     EVENT(RegistrationReturned, 1306, Info, "endpoint has registered again")                               \
     EVENT(EndpointDropped, 1307, Info, "endpoint is no longer registered and not used any more")           \
+    EVENT(EndpointRestarted, 1308, Info, "endpoint has started again under its id")                        \
     EVENT(PrimarySuspected, 1500, Warning, "primary is suspected")                                         \
     EVENT(PrimarySuspicionCleared, 1501, Info, "primary is no longer suspected")                           \
     EVENT(PrimaryFailed, 1502, Warning, "primary counts as failed")                                        \
--- a/src/gateway/deployment.h
+++ b/src/gateway/deployment.h
@@ -59,6 +59,7 @@
     unsigned slots = 1; ///< statements that the endpoint runs at the same time
     bool draining = false;
     bool primary = false; ///< role in the endpoint's own registration
+    std::uint64_t incarnation = 0; ///< changes when the endpoint starts again; 0 if unknown
 };
 
 /// Endpoint in a DeploymentView.
--- a/src/takeover/endpoint_registry.cpp
+++ b/src/takeover/endpoint_registry.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace pistachiowood {
 
@@ -11,6 +11,12 @@
 {
     for (const auto &[id, entry] : registered) {
         RegisteredEndpoint &endpoint = endpoints_[id];
+        const std::uint64_t known = endpoint.entry.incarnation;
+        if (known != 0 && entry.incarnation != known) {
+            lostLogs_.push_back({endpoint.entry.service, id});
+            logEvent(Event::EndpointRestarted,
+                     {{"service", entry.service.value()}, {"endpoint", id.value()}});
+        }
         endpoint.entry = entry;
         if (endpoint.missingSince) {
             endpoint.missingSince.reset();
@@ -56,7 +62,13 @@
 {
     logEvent(Event::EndpointDropped,
              {{"service", endpoints_.at(id).entry.service.value()}, {"endpoint", id.value()}});
+    lostLogs_.push_back({endpoints_.at(id).entry.service, id});
     endpoints_.erase(id);
 }
 
+std::vector<LostLog> EndpointRegistry::takeLostLogs()
+{
+    return std::exchange(lostLogs_, {});
+}
+
 } // namespace pistachiowood
--- a/src/takeover/endpoint_registry.h
+++ b/src/takeover/endpoint_registry.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace pistachiowood {
 
@@ -18,6 +19,13 @@
     std::optional<TimePoint> missingSince; ///< since when the registration is missing
 };
 
+/// An endpoint that has left, or has started again under its id, and may have taken its log along.
+struct LostLog
+{
+    ServiceName service;
+    EndpointId endpoint;
+};
+
 /// Endpoints in use according to their registrations. Logs changes; performs no other I/O.
 ///
 /// A registration expires when the endpoint's reports do not reach the platform's store, for
@@ -39,11 +47,14 @@
     /// Removes endpoints whose registration has been missing for too long. `storeAnswersSince` is
     /// unset while the store does not answer. Returns whether there were any.
     bool expire(std::optional<TimePoint> storeAnswersSince, TimePoint now);
+    /// Returns the losses since the last call.
+    std::vector<LostLog> takeLostLogs();
 
 private:
     void remove(const EndpointId &id);
 
     Endpoints endpoints_;
+    std::vector<LostLog> lostLogs_;
 };
 
 } // namespace pistachiowood
--- a/src/takeover/endpoint_registry_test.cpp
+++ b/src/takeover/endpoint_registry_test.cpp
@@ -19,6 +19,12 @@
         registry.update(registered, now);
     }
 
+    void restartEndpoint(std::uint64_t incarnation)
+    {
+        registered[id].incarnation = incarnation;
+        registry.update(registered, now);
+    }
+
     void expireRegistration()
     {
         registered.clear();
@@ -86,3 +92,19 @@
     registerEndpoint(false);
     CHECK_FALSE(registry.endpoints().at(id).drainingSince.has_value());
 }
+
+// Guards against the log of an endpoint that has left or restarted being counted on.
+TEST(EndpointRegistry, endpointThatLostItsLogGoesUnnoticed)
+{
+    registerEndpoint(false);
+    restartEndpoint(17);
+    restartEndpoint(17);
+    LONGS_EQUAL(0, registry.takeLostLogs().size());
+    restartEndpoint(18);
+    LONGS_EQUAL(1, registry.takeLostLogs().size());
+    registerEndpoint(true);
+    registry.takeLostLogs();
+    expireRegistration();
+    CHECK_TRUE(registry.takeLostLogs().front().endpoint == id);
+    LONGS_EQUAL(0, registry.takeLostLogs().size());
+}
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -116,6 +116,7 @@
             endpoints.emplace(entry->id, *entry);
     }
     context_.endpoints.update(endpoints, context_.clock.now());
+    replacements_.noteLostLogs(context_.endpoints.takeLostLogs());
     scheduleView();
 }
 
@@ -235,8 +236,10 @@
     peers_.tick(now);
     recovery_.tick();
     replacements_.tick();
-    if (context_.endpoints.expire(peers_.storeAnswersSince(now), now))
+    if (context_.endpoints.expire(peers_.storeAnswersSince(now), now)) {
+        replacements_.noteLostLogs(context_.endpoints.takeLostLogs());
         scheduleView();
+    }
     context_.loop.startTimer(tickInterval, [this, alive = context_.alive] {
         if (*alive)
             tick();
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -107,7 +107,7 @@
     {
         DeploymentConfiguration configuration;
         configuration.version = 1;
-        configuration.services = {{ServiceName("db"), 10, 0}};
+        configuration.services = {{ServiceName("db"), 10, syncReplicas}};
         return configuration;
     }
 
@@ -183,6 +183,7 @@
     std::array<Callback<GroupChanges>, objectGroupCount> watches;
     std::array<unsigned, objectGroupCount> watchCalls{};
     unsigned checkCalls = 0;
+    unsigned syncReplicas = 0; ///< of the only service
     bool down = false;
     bool watchesStalled = false; ///< watches are not answered
 };
@@ -396,6 +397,29 @@
     CHECK_TRUE(service().primary == EndpointId("r"));
 }
 
+// Guards against the loss of commits that only a replica held which has left: the daemon knew how
+// far the primary's log reached at that time, and promoted a replica that is behind.
+TEST(FleetControl, replicaThatIsBehindOneThatLeftIsPromoted)
+{
+    store.syncReplicas = 1;
+    store.change(ObjectGroup::Endpoints, "s", "ready");
+    start(true);
+    runFor(3500ms);
+    const PositionHistory::Sample newest{clock.now(), {Term(1), LogPosition(9)}};
+    control->handleReachability(
+        {{ServiceName("db"), EndpointId("p"), clock.now(), {}, service().primaryEpoch, newest}});
+    runFor(200ms);
+    store.change(ObjectGroup::Endpoints, "r", "draining");
+    runFor(100ms);
+    store.remove(ObjectGroup::Endpoints, "r");
+    runFor(100ms);
+    environment.leader.reset();
+    store.remove(ObjectGroup::Endpoints, "p");
+    runFor(5000ms);
+    CHECK_FALSE(service().primary.has_value());
+    LONGS_EQUAL(0, environment.promotions.size());
+}
+
 // Guards against stalled watches that hide a draining primary from all daemons; they once did so
 // for five seconds.
 TEST(FleetControl, stalledWatchDoesNotHideADrainingPrimary)
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -526,8 +526,11 @@
     const TimePoint now = context_.clock.now();
     PrimaryReachabilitySummary reachability;
     const PrimaryReachability *own = findOwnReachability(service);
-    if (own && own->endpoint == endpoint)
+    if (own && own->endpoint == endpoint) {
         reachability.failingSince = own->failingSince;
+        if (own->newestPosition)
+            reachability.newestPosition = own->newestPosition->position;
+    }
     reachability.peerCount = static_cast<unsigned>(members_.otherCount());
     for (const auto &[vm, peer] : peerStates_) {
         if (!peer.report || now - peer.receivedAt > reportMaxAge)
@@ -536,6 +539,7 @@
         for (const PrimaryReport &primary : peer.report->primaries) {
             if (primary.service != service || primary.endpoint != endpoint)
                 continue;
+            reachability.newestPosition = std::max(reachability.newestPosition, primary.position);
             if (primary.failingAge && *primary.failingAge >= failingMinDuration)
                 ++reachability.peersFailing;
             else if (primary.replyAge && *primary.replyAge <= reachableReplyMaxAge)
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -22,6 +22,7 @@
     unsigned peersHeard = 0; ///< peers with a recent report
     unsigned peersReaching = 0; ///< peers with a recent reply from it
     unsigned peersFailing = 0; ///< peers that it does not reply to
+    std::optional<TermPosition> newestPosition; ///< highest position that it reported to any
 };
 
 /// Exchanges reports with the other daemons, maintains this daemon's member record, and renews the
--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -56,19 +56,79 @@
                            });
     }
 
-    // An endpoint that already is the primary of the newest term is published without a promotion:
-    // an earlier lease holder may have promoted it without publishing it, or the former primary has
-    // restarted with its whole log.
+    // An endpoint that already is the primary of the newest term is published without a promotion.
     std::optional<EndpointId> findLeader() const
     {
         for (const auto &[id, status] : evidence_.statuses) {
-            if (status.primary && status.term == newestTerm_
-                && !(id == evidence_.formerPrimary && formerPrimaryDrains()))
+            if (status.primary && status.term == newestTerm_ && mayBePublished(id, status))
                 return id;
         }
         return std::nullopt;
     }
 
+    bool mayBePublished(const EndpointId &id, const ReplicationStatus &status) const
+    {
+        // It may have restarted with its whole log.
+        if (id == evidence_.formerPrimary)
+            return !formerPrimaryDrains() && !formerLogIsLost();
+        // An earlier lease holder has promoted it by these rules, but did not publish it.
+        const bool promotedSince = evidence_.formerTerm && status.term > *evidence_.formerTerm;
+        return promotedSince || isComplete(status.received);
+    }
+
+    // Whether the former primary has started again without its log, which another endpoint holds.
+    bool formerLogIsLost() const
+    {
+        const ReplicationStatus *former = statusOf(evidence_.formerPrimary);
+        return mayHaveHeldMore(evidence_.formerPrimary, former->received)
+               && former->received < longestLog_;
+    }
+
+    // Whether the endpoint lost a log that may have reached beyond the position.
+    bool mayHaveHeldMore(const EndpointId &id, const TermPosition &position) const
+    {
+        const auto lost = evidence_.lostLogs.find(id);
+        return lost != evidence_.lostLogs.end() && (!lost->second || *lost->second > position);
+    }
+
+    // Whether a log up to the position holds all that the former primary's log held, which is every
+    // acknowledged commit.
+    bool holdsFormerLog(const TermPosition &position) const
+    {
+        if (mayHaveHeldMore(evidence_.formerPrimary, position))
+            return false;
+        const ReplicationStatus *former = statusOf(evidence_.formerPrimary);
+        if (former && former->primary)
+            return former->received <= position;
+        return evidence_.finalPosition && *evidence_.finalPosition <= position;
+    }
+
+    // Whether a log up to the position holds every acknowledged commit, as far as synchronous
+    // replicas tell. Each is on the primary of its time and on syncReplicas replicas, so up to
+    // syncReplicas logs may be unknown, and one of the known logs still has it.
+    bool isComplete(const TermPosition &position) const
+    {
+        return evidence_.syncReplicas == 0 || holdsFormerLog(position)
+               || (position >= longestLog_
+                   && unknownLogs(position).size() <= evidence_.syncReplicas);
+    }
+
+    // Endpoints whose log, present or lost, may reach beyond the position.
+    std::set<EndpointId> unknownLogs(const TermPosition &position) const
+    {
+        // The former primary may have restarted without its log.
+        std::set<EndpointId> unknown{evidence_.formerPrimary};
+        for (const ReplacementCandidate &candidate : evidence_.candidates) {
+            if (!statusOf(candidate.id))
+                unknown.insert(candidate.id);
+        }
+        for (const auto &[id, heldUpTo] : evidence_.lostLogs) {
+            if (mayHaveHeldMore(id, position))
+                unknown.insert(id);
+        }
+        return unknown;
+    }
+
     bool isPromotable(const ReplacementCandidate &candidate) const
     {
         if (!statusOf(candidate.id) || evidence_.refused.count(candidate.id) > 0)
@@ -96,19 +156,16 @@
     {
         if (!best)
             return ChoiceWait::Answers;
-        const unsigned missing = missingReplicas();
-        // Every acknowledged commit is on at least syncReplicas replicas, so up to syncReplicas - 1
-        // of them may be missing from the survey and one that answered still has it. Without
-        // synchronous replicas, any number may be missing.
-        if (evidence_.syncReplicas > 0 && missing >= evidence_.syncReplicas)
-            return ChoiceWait::Copies;
-        if (missing > 0 && evidence_.waited < replicaAnswerTimeout)
-            return ChoiceWait::Answers;
+        const TermPosition position = statusOf(best->id)->received;
         if (mayCatchUp(*best) && evidence_.waited < catchUpTimeout)
             return ChoiceWait::CatchUp;
-        if (evidence_.syncReplicas > 0 && statusOf(best->id)->received < longestLog_)
-            return ChoiceWait::LongestLog;
-        return ChoiceWait::None;
+        if (holdsFormerLog(position))
+            return ChoiceWait::None;
+        if (missesReplicas() && evidence_.waited < replicaAnswerTimeout)
+            return ChoiceWait::Answers;
+        if (isComplete(position))
+            return ChoiceWait::None;
+        return position < longestLog_ ? ChoiceWait::LongestLog : ChoiceWait::Copies;
     }
 
     // Whether a replica may still receive commits of the demoted primary that all replicas lack.
@@ -119,13 +176,13 @@
                    || statusOf(best.id)->received < *evidence_.finalPosition);
     }
 
-    unsigned missingReplicas() const
+    bool missesReplicas() const
     {
-        return static_cast<unsigned>(std::count_if(
-            evidence_.candidates.begin(), evidence_.candidates.end(),
-            [&](const ReplacementCandidate &candidate) {
-                return candidate.id != evidence_.formerPrimary && !statusOf(candidate.id);
-            }));
+        return std::any_of(evidence_.candidates.begin(), evidence_.candidates.end(),
+                           [&](const ReplacementCandidate &candidate) {
+                               return candidate.id != evidence_.formerPrimary
+                                      && !statusOf(candidate.id);
+                           });
     }
 
     const PrimaryEvidence &evidence_;
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -28,12 +28,16 @@
 struct PrimaryEvidence
 {
     EndpointId formerPrimary; ///< the last one that the daemons used
+    std::optional<Term> formerTerm; ///< newest term of the positions that it reported
     std::vector<ReplacementCandidate> candidates; ///< registered endpoints of the service
     std::map<EndpointId, ReplicationStatus> statuses; ///< of the endpoints that answered
     std::set<EndpointId> refused; ///< endpoints that the platform lately did not promote
     unsigned syncReplicas = 0; ///< replicas that hold a commit before it is acknowledged
     Milliseconds waited{0}; ///< time since the endpoints were first asked
     bool demotionTried = false; ///< the former primary has been asked to step down
+    /// Endpoints whose log may be gone, and the position up to which they may have held commits;
+    /// nullopt if that is unknown.
+    std::map<EndpointId, std::optional<TermPosition>> lostLogs;
     /// End of the former primary's log, told when it stepped down; unset if it did not answer.
     std::optional<TermPosition> finalPosition;
 };
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -298,11 +298,13 @@
 {
     PrimaryEvidence evidence{
         .formerPrimary = oldPrimary_,
+        .formerTerm = input.primaryTerm,
         .candidates = input.candidates,
         .statuses = statuses_,
         .syncReplicas = input.syncReplicas,
         .waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_),
         .demotionTried = demotionTried_,
+        .lostLogs = input.lostLogs,
         .finalPosition = finalPosition_};
     for (const auto &[endpoint, until] : refusedUntil_) {
         if (input.now < until)
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -45,6 +45,8 @@
     if (version == state.recordVersion)
         return;
     const bool changed = state.record != record;
+    if (state.record && state.record->primary != record.primary)
+        state.primaryTerm.reset();
     state.record = record;
     state.recordVersion = version;
     state.recordSince = context_.clock.now();
@@ -104,14 +106,37 @@
     if (!state.replacement)
         state.replacement =
             std::make_unique<PrimaryReplacement>(service.name, context_.settings.vm);
+    const PrimaryReachabilitySummary reachability =
+        peers_.reachabilityOf(service.name, state.record->primary);
+    notePosition(state, reachability.newestPosition);
     if (leaving_ && !state.replacement->announced())
         return; // left to the other daemons
-    const auto command = state.replacement->step(collectInput(service, state));
+    const auto command = state.replacement->step(collectInput(service, state, reachability));
     logWait(service.name, state);
     if (command)
         execute(service.name, *command);
 }
 
+void ReplacementRunner::notePosition(ServiceState &state, std::optional<TermPosition> position)
+{
+    if (!position)
+        return;
+    state.newestPosition = std::max(state.newestPosition, position);
+    state.primaryTerm = std::max(state.primaryTerm, std::optional(position->term));
+    for (auto &[endpoint, heldUpTo] : state.lostLogs) {
+        if (!heldUpTo)
+            heldUpTo = position;
+    }
+}
+
+void ReplacementRunner::noteLostLogs(const std::vector<LostLog> &losses)
+{
+    for (const LostLog &loss : losses) {
+        if (const auto found = services_.find(loss.service); found != services_.end())
+            found->second.lostLogs[loss.endpoint] = found->second.newestPosition;
+    }
+}
+
 // Runs the next step of a replacement from the event loop, without waiting for the next tick.
 void ReplacementRunner::scheduleStep(const ServiceName &service)
 {
@@ -160,7 +185,8 @@
 }
 
 ReplacementInput ReplacementRunner::collectInput(const ServiceLimits &service,
-                                                 const ServiceState &state)
+                                                 const ServiceState &state,
+                                                 const PrimaryReachabilitySummary &reachability)
 {
     const TimePoint now = context_.clock.now();
     ReplacementInput input;
@@ -172,6 +198,8 @@
                                && state.record->changedBy == context_.settings.vm
                                && state.record->generation == state.announcedGeneration;
     input.syncReplicas = service.syncReplicas;
+    input.primaryTerm = state.primaryTerm;
+    input.lostLogs = state.lostLogs;
     std::map<RegionName, unsigned> endpointsPerRegion;
     const FleetSettings &settings = context_.settings;
     for (const EndpointId &id : context_.endpointsOf(service.name)) {
@@ -188,8 +216,6 @@
     input.registrationsCurrent = endpoints.watching() && !endpoints.failing()
                                  && endpoints.healthySince()
                                  && now - *endpoints.healthySince() > registrationSettleTime;
-    const PrimaryReachabilitySummary reachability =
-        peers_.reachabilityOf(service.name, state.record->primary);
     input.primaryFailingSince = reachability.failingSince;
     input.peerCount = reachability.peerCount;
     input.peersHeard = reachability.peersHeard;
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -34,6 +34,9 @@
     {
         services_[service].announcedGeneration = generation;
     }
+    /// Notes endpoints whose log may be gone. Commits that were acknowledged before may have been
+    /// on them and on the primary only.
+    void noteLostLogs(const std::vector<LostLog> &losses);
     /// Sets the primary, its epoch and whether it is being replaced, if the service has a record.
     void fillPrimary(ServiceView &service) const;
 
@@ -57,12 +60,18 @@
         TimePoint creatableSince{}; ///< since when the record is missing and could be created
         bool creatingRecord = false;
         bool waitsForLease = false;
+        std::optional<TermPosition> newestPosition; ///< highest one that a primary reported
+        std::optional<Term> primaryTerm; ///< newest term that the present one reported
+        /// See PrimaryEvidence. Kept for good: a replica may be behind for any time.
+        std::map<EndpointId, std::optional<TermPosition>> lostLogs;
         ChoiceWait loggedWait = ChoiceWait::None;
     };
     void tickService(const ServiceLimits &service);
+    void notePosition(ServiceState &state, std::optional<TermPosition> position);
     void scheduleStep(const ServiceName &service);
     void createRecord(const ServiceLimits &service, ServiceState &state);
-    ReplacementInput collectInput(const ServiceLimits &service, const ServiceState &state);
+    ReplacementInput collectInput(const ServiceLimits &service, const ServiceState &state,
+                                  const PrimaryReachabilitySummary &reachability);
     PrimaryReplacement *replacementOf(const ServiceName &service);
     void logStep(const ServiceName &service, const ReplacementCommand &command) const;
     void logWait(const ServiceName &service, ServiceState &state) const;
