Read the store's answers entry by entry, so that an odd one does not hide the rest

Here: lists and watches of the endpoints fail on all machines for as long as the entry is there; draining endpoints go on getting reads. No process ended.

Cause: the whole answer was decoded at once, and what Boost.JSON refuses in one value made the whole answer a refused call; odd elements were skipped only afterwards. Three faults of the same reader: the last name of a page went into the next request unencoded, a page without readable names would have counted as the end of the list, and an unreadable answer to a change as a change that was not executed.

Ruled out: raising the depth that is accepted (numbers and bytes stay), asking for each entry by name (one call each).

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -7,10 +7,8 @@
 
 namespace json = boost::json;
 
-Result<json::object> parseJsonObject(std::string_view text)
+Result<json::value> parseJsonValue(std::string_view text)
 {
-    if (text.empty())
-        return makeError(ErrorCode::InvalidArgument, "the body is empty; it must be a JSON object");
     json::parse_options options;
     options.max_depth = maxJsonDepth;
     json::error_code failure;
@@ -18,6 +16,14 @@
         json::parse(json::string_view(text.data(), text.size()), failure, {}, options);
     if (failure)
         return makeError(ErrorCode::InvalidArgument, "invalid JSON: " + failure.message());
+    return value;
+}
+
+Result<json::object> parseJsonObject(std::string_view text)
+{
+    if (text.empty())
+        return makeError(ErrorCode::InvalidArgument, "the body is empty; it must be a JSON object");
+    BOOST_LEAF_AUTO(value, parseJsonValue(text));
     if (!value.is_object())
         return makeError(ErrorCode::InvalidArgument, "the body must be a JSON object");
     return std::move(value.as_object());
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -15,6 +15,8 @@
 /// Maximum nesting depth of parsed JSON; deeper input is rejected.
 inline constexpr std::size_t maxJsonDepth = 32;
 
+/// Parses a JSON text of any kind; invalid or too deeply nested input fails with InvalidArgument.
+Result<boost::json::value> parseJsonValue(std::string_view text);
 /// Parses a JSON object; any other input fails with InvalidArgument.
 Result<boost::json::object> parseJsonObject(std::string_view text);
 
--- a/src/net/request_target.cpp
+++ b/src/net/request_target.cpp
@@ -1,6 +1,8 @@
 #include "net/request_target.h"
 
+#include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <boost/url/src.hpp> // compiles Boost.URL here, as no library is linked
 #include <boost/url/url_view.hpp>
 
@@ -42,4 +44,10 @@
     return result;
 }
 
+std::string encodeForTarget(std::string_view text)
+{
+    return boost::urls::encode(boost::core::string_view(text.data(), text.size()),
+                               boost::urls::unreserved_chars);
+}
+
 } // namespace pistachiowood
--- a/src/net/request_target.h
+++ b/src/net/request_target.h
@@ -25,6 +25,9 @@
 
 Result<RequestTarget> parseRequestTarget(std::string_view target);
 
+/// Percent-encodes any text for one path segment or query value of a target.
+std::string encodeForTarget(std::string_view text);
+
 } // namespace pistachiowood
 
 #endif
