Report the error of an odd entry, once per version

What operators saw: nothing. An entry that cannot be decoded was reported as event 1703 (debug, "older version of an object refused"), which is off by default; with it on, each daemon wrote it with every heartbeat of any endpoint.

Cause: all items of a group are decoded again with each change of the group, and each failure was logged, at a level that hid it.

Change: event 1713 (warning) with the name and the reason. RefusedItems keeps the version of each refused item, so that it is written once per version.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -77,6 +77,7 @@
     EVENT(PeerCopyApplied, 1711, Debug, "copy from a peer applied")                                        \
     EVENT(StoreCallsCounted, 1712, Info,                                                                   \
           "calls to the platform's store since the last such event")                                       \
+    EVENT(EntryRefused, 1713, Warning, "entry in the store cannot be read; it is left out")                \
     EVENT(                                                                                                 \
         AdministrationOpen, 1800, Warning,                                                                 \
         "no administration credentials are configured; every request is allowed; listen on loopback only") \
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -14,17 +14,18 @@
 constexpr Milliseconds maxWatchWait{20000};
 constexpr Milliseconds viewPublishDelay{2}; // merges simultaneous changes into one view
 
-// Returns the decoded item, or logs the error and returns nullopt.
+// Returns the decoded item, or nullopt.
 template <typename Decode>
-auto decodeItem(Decode decode, const StoredItem &item)
+auto decodeItem(RefusedItems &refused, Decode decode, const StoredItem &item)
 {
     using Value = typename ResultValue<decltype(decode())>::Type;
     const auto decoded = capture(decode);
-    if (const auto *error = std::get_if<Error>(&decoded)) {
-        logEvent(Event::ObjectRefused, {{"name", item.name}, {"reason", error->message}});
-        return std::optional<Value>();
-    }
-    return std::optional<Value>(std::get<Value>(decoded));
+    const auto *error = std::get_if<Error>(&decoded);
+    if (!error)
+        return std::optional<Value>(std::get<Value>(decoded));
+    if (refused.add(item))
+        logEvent(Event::EntryRefused, {{"name", item.name}, {"reason", error->message}});
+    return std::optional<Value>();
 }
 
 } // namespace
@@ -111,10 +112,11 @@
     std::map<EndpointId, EndpointEntry> endpoints;
     for (const auto &stored : context_.feed(ObjectGroup::Endpoints).items()) {
         const StoredItem &item = stored.second;
-        if (const auto entry =
-                decodeItem([&] { return context_.store.decodeEndpoint(item); }, item))
+        if (const auto entry = decodeItem(
+                refusedEndpoints_, [&] { return context_.store.decodeEndpoint(item); }, item))
             endpoints.emplace(entry->id, *entry);
     }
+    refusedEndpoints_.retain(context_.feed(ObjectGroup::Endpoints).items());
     context_.endpoints.update(endpoints, context_.clock.now());
     replacements_.noteLostLogs(context_.endpoints.takeLostLogs());
     scheduleView();
@@ -130,8 +132,8 @@
         const StoredItem &item = stored.second;
         switch (recordKindOf(item.name)) {
         case RecordKind::Member:
-            if (const auto member =
-                    decodeItem([&] { return decodeDaemonRecord(item.text); }, item)) {
+            if (const auto member = decodeItem(
+                    refusedRecords_, [&] { return decodeDaemonRecord(item.text); }, item)) {
                 if (member->vm == context_.settings.vm)
                     registered =
                         !member->removed && member->address == context_.settings.peerAddress;
@@ -140,24 +142,25 @@
             }
             break;
         case RecordKind::PromotionLease:
-            if (const auto lease =
-                    decodeItem([&] { return decodePromotionLeaseRecord(item.text); }, item))
+            if (const auto lease = decodeItem(
+                    refusedRecords_, [&] { return decodePromotionLeaseRecord(item.text); }, item))
                 replacements_.updateLeaseRecord(*lease, item.version.stored);
             break;
         case RecordKind::Primary:
-            if (const auto record =
-                    decodeItem([&] { return decodePrimaryRecord(item.text); }, item))
+            if (const auto record = decodeItem(
+                    refusedRecords_, [&] { return decodePrimaryRecord(item.text); }, item))
                 replacements_.updatePrimaryRecord(*record, item.version.stored);
             break;
         case RecordKind::RecoveredEra:
-            if (const auto record =
-                    decodeItem([&] { return decodeRecoveredEraRecord(item.text); }, item))
+            if (const auto record = decodeItem(
+                    refusedRecords_, [&] { return decodeRecoveredEraRecord(item.text); }, item))
                 context_.recoveredEra = record->era;
             break;
         case RecordKind::Other:
             break;
         }
     }
+    refusedRecords_.retain(context_.records().items());
     peers_.setMembers(members, removed, registered);
     scheduleView();
     // What was still kept of earlier eras was known to a minority of the daemons.
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -4,6 +4,7 @@
 #include "takeover/fleet_context.h"
 #include "takeover/fleet_peers.h"
 #include "takeover/recovery_runner.h"
+#include "takeover/refused_items.h"
 #include "takeover/replacement_runner.h"
 
 #include <vector>
@@ -47,6 +48,8 @@
     FleetPeers peers_;
     ReplacementRunner replacements_;
     RecoveryRunner recovery_;
+    RefusedItems refusedEndpoints_;
+    RefusedItems refusedRecords_;
     bool viewScheduled_ = false;
     unsigned viewsInFlight_ = 0; ///< sent to the traffic thread and not applied yet
 };
