Read the object API of the daemons' own platform entry by entry as well

What operators would see on the other program's platform: one object of another system that is nested deeply or is no text, or one VM with a port out of range, and the list of all objects or VMs is refused, again and again.

Change: lists, watches and the list of VMs use base/json_split; an odd element is reported (event 1713) and left out. An object whose own text cannot be decoded is kept with that text, so that its former version stays in force as before; left out of a list it would have counted as removed.

Evidence: on the former code oddVmHidesTheOthers fails, and oddObjectHidesTheOthersOfAList ends with the list refused.

--- a/src/base/json_split.cpp
+++ b/src/base/json_split.cpp
@@ -136,6 +136,20 @@
     return found == members_.rend() ? std::nullopt : std::optional(found->value);
 }
 
+Result<std::string_view> requireMember(const JsonMembers &members, std::string_view name)
+{
+    if (const auto value = members.find(name))
+        return *value;
+    return makeError(ErrorCode::InvalidArgument, "field \"" + std::string(name) + "\" is missing");
+}
+
+Result<boost::json::object> decodeMember(const JsonMembers &members, std::string_view name)
+{
+    BOOST_LEAF_AUTO(text, requireMember(members, name));
+    BOOST_LEAF_AUTO(value, parseJsonValue(text));
+    return boost::json::object{{name, std::move(value)}};
+}
+
 Result<JsonMembers> splitJsonObject(std::string_view text)
 {
     Scanner scanner(text);
--- a/src/base/json_split.h
+++ b/src/base/json_split.h
@@ -3,6 +3,8 @@
 
 #include <pistachiowood/error.h>
 
+#include <boost/json/object.hpp>
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +35,12 @@
     std::vector<JsonMember> members_;
 };
 
+/// Text of the member; fails if there is none.
+Result<std::string_view> requireMember(const JsonMembers &members, std::string_view name);
+/// The decoded member alone, as an object that holds nothing else. Fails if there is none or it
+/// cannot be decoded.
+Result<boost::json::object> decodeMember(const JsonMembers &members, std::string_view name);
+
 /// Splits a JSON object into its members without decoding their values, so that a value that cannot
 /// be decoded does not hide the others. A value may nest to any depth and hold any bytes as long as
 /// its quotes are closed and each opening bracket has a closing one; otherwise the result is
--- a/src/configuration/platform_client.cpp
+++ b/src/configuration/platform_client.cpp
@@ -1,6 +1,8 @@
 #include "configuration/platform_client.h"
 
 #include "base/json.h"
+#include "base/json_split.h"
+#include "base/log.h"
 
 #include <map>
 #include <utility>
@@ -47,9 +49,9 @@
     return text ? *text : "the platform answered with status " + std::to_string(response.status);
 }
 
-// Returns the body of a successful answer. The code of an error tells whether a change that was
+// Returns the text of a successful answer. The code of an error tells whether a change that was
 // sent may have been carried out.
-Result<json::object> readAnswer(const HttpOutcome &outcome)
+Result<std::string_view> readText(const HttpOutcome &outcome)
 {
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
         if (!failure->requestSent)
@@ -62,74 +64,117 @@
     const auto &response = std::get<HttpResponse>(outcome);
     if (response.status != statusOk)
         return makeError(errorCodeOf(response.status), errorMessageOf(response));
-    return parseJsonObject(response.body);
+    return std::string_view(response.body);
 }
 
-Result<StoredObject> readStored(const json::object &body)
+Result<json::object> readAnswer(const HttpOutcome &outcome)
 {
-    StoredObject object;
-    BOOST_LEAF_AUTO(kind, requireString(body, "kind"));
-    BOOST_LEAF_ASSIGN(object.kind, parseObjectKind(kind));
-    BOOST_LEAF_ASSIGN(object.name, requireString(body, "name"));
-    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
-    object.version = ResourceVersion(version);
-    BOOST_LEAF_AUTO(operationId, optionalString(body, "operation_id"));
-    object.operationId = operationId.value_or("");
-    if (const json::value *value = body.if_contains("object"))
-        object.json = json::serialize(*value);
-    return object;
+    BOOST_LEAF_AUTO(text, readText(outcome));
+    return parseJsonObject(text);
 }
 
-// Other systems may store objects of other kinds on the platform; these are skipped.
-bool isKnownKind(const json::object &body)
+Result<JsonMembers> splitAnswer(const HttpOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(text, readText(outcome));
+    return splitJsonObject(text);
+}
+
+// Decodes each element of an array member. Invalid ones are logged and left out: other systems
+// write objects too, and one of them must not hide the rest.
+template <typename Function>
+Result<void> decodeEach(const JsonMembers &answer, std::string_view name, Function function)
+{
+    BOOST_LEAF_AUTO(text, requireMember(answer, name));
+    BOOST_LEAF_AUTO(elements, splitJsonArray(text));
+    for (const std::string_view element : elements) {
+        const auto read = capture([&]() -> Result<void> {
+            BOOST_LEAF_AUTO(members, splitJsonObject(element));
+            return function(members);
+        });
+        if (const auto *error = std::get_if<Error>(&read))
+            logEvent(Event::EntryRefused, {{"reason", error->message}});
+    }
+    return {};
+}
+
+Result<ResourceVersion> decodeVersion(const JsonMembers &answer)
+{
+    BOOST_LEAF_AUTO(member, decodeMember(answer, "version"));
+    BOOST_LEAF_AUTO(version, requireUnsigned(member, "version"));
+    return ResourceVersion(version);
+}
+
+Result<std::string> decodeString(const JsonMembers &members, std::string_view name)
+{
+    BOOST_LEAF_AUTO(member, decodeMember(members, name));
+    return requireString(member, name);
+}
+
+Result<ObjectKind> readKind(const JsonMembers &stored)
 {
-    const json::value *kind = body.if_contains("kind");
-    if (!kind || !kind->is_string())
-        return false;
-    const auto parsed =
-        capture([&] { return parseObjectKind(std::string_view(kind->as_string())); });
-    return std::holds_alternative<ObjectKind>(parsed);
+    BOOST_LEAF_AUTO(kind, decodeString(stored, "kind"));
+    return parseObjectKind(kind);
 }
 
-Result<const json::array *> requireArray(const json::object &body, std::string_view field)
+// Text of the object itself. One that is no JSON is kept as it is, so that the former version of
+// the object stays in force.
+std::string readObjectText(const JsonMembers &stored)
 {
-    const json::value *value = body.if_contains(json::string_view(field.data(), field.size()));
-    if (!value || !value->is_array())
-        return makeError(ErrorCode::InvalidArgument,
-                         "the platform's answer lacks \"" + std::string(field) + "\"");
-    return &value->as_array();
+    const std::string_view text = stored.find("object").value_or("");
+    const auto value = capture([&] { return parseJsonValue(text); });
+    const auto *decoded = std::get_if<json::value>(&value);
+    return decoded ? json::serialize(*decoded) : std::string(text);
+}
+
+Result<StoredObject> readStored(const JsonMembers &stored)
+{
+    StoredObject object;
+    BOOST_LEAF_ASSIGN(object.kind, readKind(stored));
+    BOOST_LEAF_ASSIGN(object.name, decodeString(stored, "name"));
+    BOOST_LEAF_ASSIGN(object.version, decodeVersion(stored));
+    if (stored.find("operation_id")) {
+        BOOST_LEAF_AUTO(member, decodeMember(stored, "operation_id"));
+        BOOST_LEAF_AUTO(operationId, optionalString(member, "operation_id"));
+        object.operationId = operationId.value_or("");
+    }
+    object.json = readObjectText(stored);
+    return object;
+}
+
+// Other systems may store objects of other kinds on the platform; these are skipped.
+bool isKnownKind(const JsonMembers &stored)
+{
+    return std::holds_alternative<ObjectKind>(capture([&] { return readKind(stored); }));
 }
 
 Result<ConfigurationSnapshot> readList(const HttpOutcome &outcome)
 {
-    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(body, splitAnswer(outcome));
     ConfigurationSnapshot snapshot;
-    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
-    snapshot.version = ResourceVersion(version);
-    BOOST_LEAF_AUTO(items, requireArray(body, "items"));
-    for (const json::value &item : *items) {
-        if (!item.is_object() || !isKnownKind(item.as_object()))
-            continue;
-        BOOST_LEAF_AUTO(object, readStored(item.as_object()));
+    BOOST_LEAF_ASSIGN(snapshot.version, decodeVersion(body));
+    BOOST_LEAF_CHECK(decodeEach(body, "items", [&](const JsonMembers &item) -> Result<void> {
+        if (!isKnownKind(item))
+            return {};
+        BOOST_LEAF_AUTO(object, readStored(item));
         snapshot.items.push_back(std::move(object));
-    }
+        return {};
+    }));
     return snapshot;
 }
 
 Result<WatchAnswer> readWatch(const HttpOutcome &outcome)
 {
-    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(body, splitAnswer(outcome));
     WatchAnswer answer;
-    BOOST_LEAF_AUTO(version, requireUnsigned(body, "version"));
-    answer.version = ResourceVersion(version);
-    BOOST_LEAF_AUTO(events, requireArray(body, "events"));
-    for (const json::value &item : *events) {
-        if (!item.is_object() || !isKnownKind(item.as_object()))
-            continue;
-        BOOST_LEAF_AUTO(object, readStored(item.as_object()));
-        BOOST_LEAF_AUTO(type, requireString(item.as_object(), "type"));
+    BOOST_LEAF_ASSIGN(answer.version, decodeVersion(body));
+    BOOST_LEAF_CHECK(decodeEach(body, "events", [&](const JsonMembers &event) -> Result<void> {
+        if (!isKnownKind(event))
+            return {};
+        BOOST_LEAF_AUTO(object, readStored(event));
+        BOOST_LEAF_AUTO(type, decodeString(event, "type"));
         answer.events.push_back({type == "delete", std::move(object)});
-    }
+        return {};
+    }));
     return answer;
 }
 
@@ -145,34 +190,35 @@
     const auto *response = std::get_if<HttpResponse>(&outcome);
     if (response && response->status == statusNotFound)
         return std::optional<StoredObject>{};
-    BOOST_LEAF_AUTO(body, readAnswer(outcome));
+    BOOST_LEAF_AUTO(body, splitAnswer(outcome));
     BOOST_LEAF_AUTO(object, readStored(body));
     return std::optional<StoredObject>{std::move(object)};
 }
 
 Result<std::vector<PlatformVm>> readVms(const HttpOutcome &outcome)
 {
-    BOOST_LEAF_AUTO(body, readAnswer(outcome));
-    BOOST_LEAF_AUTO(items, requireArray(body, "vms"));
+    BOOST_LEAF_AUTO(body, splitAnswer(outcome));
     std::vector<PlatformVm> entries;
-    for (const json::value &item : *items) {
-        if (!item.is_object())
-            continue;
+    BOOST_LEAF_CHECK(decodeEach(body, "vms", [&](const JsonMembers &item) -> Result<void> {
         PlatformVm entry;
-        BOOST_LEAF_AUTO(vm, requireString(item.as_object(), "vm"));
-        BOOST_LEAF_AUTO(zone, requireString(item.as_object(), "zone"));
-        BOOST_LEAF_AUTO(region, requireString(item.as_object(), "region"));
-        BOOST_LEAF_AUTO(state, requireString(item.as_object(), "state"));
-        BOOST_LEAF_AUTO(address, optionalString(item.as_object(), "address"));
-        if (address) {
-            BOOST_LEAF_ASSIGN(entry.control, decodeAddress(*address, "address"));
+        BOOST_LEAF_AUTO(vm, decodeString(item, "vm"));
+        BOOST_LEAF_AUTO(zone, decodeString(item, "zone"));
+        BOOST_LEAF_AUTO(region, decodeString(item, "region"));
+        BOOST_LEAF_AUTO(state, decodeString(item, "state"));
+        if (item.find("address")) {
+            BOOST_LEAF_AUTO(member, decodeMember(item, "address"));
+            BOOST_LEAF_AUTO(address, optionalString(member, "address"));
+            if (address) {
+                BOOST_LEAF_ASSIGN(entry.control, decodeAddress(*address, "address"));
+            }
         }
         entry.vm = VmId(vm);
         entry.zone = ZoneName(zone);
         entry.region = RegionName(region);
         entry.leaving = state == "leaving";
         entries.push_back(std::move(entry));
-    }
+        return {};
+    }));
     return entries;
 }
 
