Write records again that another writer has overwritten; let a replacement find the first primary

What callers would see: after another writer has left unreadable bytes under the name of a service's record, its primary is never replaced again; a daemon that starts then knows no primary. With the record of the lease, tokens may go back.

Cause: an unreadable record was skipped. The daemons kept the version before it as the condition of their writes (or none, as if there were no record), which the store refuses from then on. Counts in records were incremented without a bound. Beside it, on the same path: a service without a record took the first endpoint that calls itself primary in its registration; where two do, that may be the former one, whose log lacks what was acknowledged since.

The same is written if several endpoints call themselves primary. The lease keeps the last known holder until it expires, and its token. Records under the name of another one, and counts beyond 2^53, count as unreadable.

Ruled out: writing the last known record again as it was. A daemon that missed an announcement would take it back.

Open: a daemon that starts after the record of the lease was overwritten does not know the last token.

--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -14,6 +14,26 @@
 constexpr Milliseconds maxWatchWait{20000};
 constexpr Milliseconds viewPublishDelay{2}; // merges simultaneous changes into one view
 
+// Fails if the record is stored under the name of another one.
+template <typename Record>
+Result<Record> requireName(Result<Record> record, const std::string &stored,
+                           std::string (*nameOf)(const Record &))
+{
+    if (record && nameOf(*record) != stored)
+        return makeError(ErrorCode::InvalidArgument, "the record is of " + nameOf(*record));
+    return record;
+}
+
+std::string nameOfPrimaryRecord(const PrimaryRecord &record)
+{
+    return primaryRecordName(record.service);
+}
+
+std::string nameOfDaemonRecord(const DaemonRecord &record)
+{
+    return daemonRecordName(record.vm);
+}
+
 // Returns the decoded item, or nullopt.
 template <typename Decode>
 auto decodeItem(RefusedItems &refused, Decode decode, const StoredItem &item)
@@ -133,7 +153,12 @@
         switch (recordKindOf(item.name)) {
         case RecordKind::Member:
             if (const auto member = decodeItem(
-                    refusedRecords_, [&] { return decodeDaemonRecord(item.text); }, item)) {
+                    refusedRecords_,
+                    [&] {
+                        return requireName(decodeDaemonRecord(item.text), item.name,
+                                           nameOfDaemonRecord);
+                    },
+                    item)) {
                 if (member->vm == context_.settings.vm)
                     registered =
                         !member->removed && member->address == context_.settings.peerAddress;
@@ -145,11 +170,21 @@
             if (const auto lease = decodeItem(
                     refusedRecords_, [&] { return decodePromotionLeaseRecord(item.text); }, item))
                 replacements_.updateLeaseRecord(*lease, item.version.stored);
+            else
+                replacements_.dropLeaseRecord(item.version.stored);
             break;
         case RecordKind::Primary:
             if (const auto record = decodeItem(
-                    refusedRecords_, [&] { return decodePrimaryRecord(item.text); }, item))
+                    refusedRecords_,
+                    [&] {
+                        return requireName(decodePrimaryRecord(item.text), item.name,
+                                           nameOfPrimaryRecord);
+                    },
+                    item))
                 replacements_.updatePrimaryRecord(*record, item.version.stored);
+            else
+                replacements_.dropPrimaryRecord(serviceOfPrimaryRecord(item.name),
+                                                item.version.stored);
             break;
         case RecordKind::RecoveredEra:
             if (const auto record = decodeItem(
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -113,8 +113,13 @@
 
     Result<EndpointEntry> decodeEndpoint(const StoredItem &item) override
     {
-        return EndpointEntry{EndpointId(item.name),   ServiceName("db"), {}, ZoneName("z"), 1,
-                             item.text == "draining", item.name == "p"};
+        return EndpointEntry{EndpointId(item.name),
+                             ServiceName("db"),
+                             {},
+                             ZoneName("z"),
+                             1,
+                             item.text == "draining",
+                             registeredPrimaries.count(item.name) > 0};
     }
 
     void change(ObjectGroup group, const std::string &name, const std::string &text)
@@ -184,6 +189,7 @@
     std::array<unsigned, objectGroupCount> watchCalls{};
     unsigned checkCalls = 0;
     unsigned syncReplicas = 0; ///< of the only service
+    std::set<std::string> registeredPrimaries{"p"}; ///< endpoints that call themselves primary
     bool down = false;
     bool watchesStalled = false; ///< watches are not answered
 };
@@ -420,6 +426,63 @@
     LONGS_EQUAL(0, environment.promotions.size());
 }
 
+// Guards against a service that stays without a primary, or whose primary cannot be replaced any
+// more, after another writer has overwritten its record.
+TEST(FleetControl, overwrittenPrimaryRecordIsNotWrittenAgain)
+{
+    start(true);
+    runFor(3500ms);
+    for (const std::string text : {"odd", "{\"service\":7}", "null",
+                                   "{\"service\":\"other\",\"primary\":\"x\",\"changedBy\":\"\","
+                                   "\"attempt\":18446744073709551615}"}) {
+        store.change(ObjectGroup::Records, primaryRecordName(ServiceName("db")), text);
+        runFor(1500ms);
+        CHECK_TRUE(service().primary == EndpointId("p"));
+        LONGS_EQUAL(0, environment.promotions.size());
+    }
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    runFor(1500ms);
+    CHECK_TRUE(service().primary == EndpointId("r"));
+}
+
+// Guards against the same for a daemon that has not seen the record before.
+TEST(FleetControl, unreadablePrimaryRecordIsNotReplacedAtTheStart)
+{
+    store.change(ObjectGroup::Records, primaryRecordName(ServiceName("db")), "odd");
+    start(true);
+    runFor(4500ms);
+    CHECK_TRUE(service().primary == EndpointId("p"));
+}
+
+// Guards against primaries that cannot be replaced any more after another writer has overwritten
+// the record of the promotion lease.
+TEST(FleetControl, overwrittenLeaseRecordEndsReplacements)
+{
+    start(true);
+    runFor(500ms);
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    runFor(1500ms);
+    CHECK_TRUE(service().primary == EndpointId("r"));
+    store.change(ObjectGroup::Records, promotionLeaseRecordName(), "odd");
+    store.change(ObjectGroup::Endpoints, "p", "ready");
+    runFor(200ms);
+    store.change(ObjectGroup::Endpoints, "r", "draining");
+    runFor(6500ms);
+    CHECK_TRUE(service().primary == EndpointId("p"));
+    CHECK_TRUE(environment.promotions.front().second < environment.promotions.back().second);
+}
+
+// Guards against a first record that names a former primary, because it still calls itself primary
+// in its registration.
+TEST(FleetControl, firstOfTwoRegisteredPrimariesIsRecorded)
+{
+    store.registeredPrimaries.insert("r");
+    environment.leader = EndpointId("r");
+    start(true);
+    runFor(4500ms);
+    CHECK_TRUE(service().primary == EndpointId("r"));
+}
+
 // Guards against stalled watches that hide a draining primary from all daemons; they once did so
 // for five seconds.
 TEST(FleetControl, stalledWatchDoesNotHideADrainingPrimary)
--- a/src/takeover/promotion_lease.cpp
+++ b/src/takeover/promotion_lease.cpp
@@ -40,6 +40,12 @@
     heldUntil_.reset();
 }
 
+void PromotionLease::observeUnreadable(StoreVersion version, TimePoint now)
+{
+    const std::optional<PromotionLeaseRecord> known = record_;
+    observe(known.value_or(PromotionLeaseRecord{}), version, now);
+}
+
 void PromotionLease::accept(const PromotionLeaseRecord &record, StoreVersion version,
                             TimePoint sentAt, TimePoint now)
 {
--- a/src/takeover/promotion_lease.h
+++ b/src/takeover/promotion_lease.h
@@ -49,6 +49,9 @@
     std::optional<PromotionLeaseRecord> recoveredRecord(TimePoint now) const;
     /// Version on which the change must be conditional; nullopt if the record does not exist yet.
     std::optional<StoreVersion> expectedVersion() const;
+    /// Takes a version of the record that cannot be decoded. The last known one stays in force
+    /// until it expires, and its fencing token counts.
+    void observeUnreadable(StoreVersion version, TimePoint now);
     std::uint64_t fencingToken() const { return record_ ? record_->fencingToken : 0; }
 
 private:
--- a/src/takeover/promotion_lease_test.cpp
+++ b/src/takeover/promotion_lease_test.cpp
@@ -102,3 +102,16 @@
     lease.observe(lease.recoveredRecord(now), storeVersion(4, 2), now);
     CHECK_TRUE(lease.available(now));
 }
+
+// Guards against a lease that cannot be taken any more, or is taken at once and with an old token,
+// after another writer has overwritten its record.
+TEST(PromotionLease, unreadableRecordKeepsHolderAndToken)
+{
+    lease.observe(PromotionLeaseRecord{VmId("b"), 4, 0}, storeVersion(9, 0), now);
+    lease.observeUnreadable(storeVersion(10, 0), now);
+    CHECK_FALSE(lease.available(now));
+    now += PromotionLease::duration + PromotionLease::safetyMargin;
+    CHECK_TRUE(lease.available(now));
+    LONGS_EQUAL(5, lease.propose(now).fencingToken);
+    CHECK_TRUE(lease.expectedVersion() == storeVersion(10, 0));
+}
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -12,6 +12,25 @@
 constexpr std::string_view promotionLeaseName = "promotion-duty";
 constexpr std::string_view recoveredEraName = "recovered-era";
 
+Result<std::optional<std::uint64_t>> optionalCount(const boost::json::object &object,
+                                                   std::string_view field)
+{
+    BOOST_LEAF_AUTO(count, optionalUnsigned(object, field));
+    if (count.value_or(0) > maxRecordCount)
+        return makeError(ErrorCode::InvalidArgument,
+                         "field \"" + std::string(field) + "\" is out of range");
+    return count;
+}
+
+Result<std::uint64_t> requireCount(const boost::json::object &object, std::string_view field)
+{
+    BOOST_LEAF_AUTO(count, optionalCount(object, field));
+    if (!count)
+        return makeError(ErrorCode::InvalidArgument,
+                         "field \"" + std::string(field) + "\" is missing");
+    return *count;
+}
+
 } // namespace
 
 std::string primaryRecordName(const ServiceName &service)
@@ -34,6 +53,11 @@
     return std::string(recoveredEraName);
 }
 
+ServiceName serviceOfPrimaryRecord(const std::string &name)
+{
+    return ServiceName(name.substr(servicePrefix.size()));
+}
+
 RecordKind recordKindOf(const std::string &name)
 {
     if (name.starts_with(servicePrefix))
@@ -49,7 +73,7 @@
 {
     const auto generation = capture([&]() -> Result<std::optional<std::uint64_t>> {
         BOOST_LEAF_AUTO(object, parseJsonObject(text));
-        return optionalUnsigned(object, recordGenerationField);
+        return optionalCount(object, recordGenerationField);
     });
     const auto *value = std::get_if<std::optional<std::uint64_t>>(&generation);
     return value ? value->value_or(0) : 0;
@@ -100,8 +124,8 @@
 Result<RecoveredEraRecord> decodeRecoveredEraRecord(const std::string &text)
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
-    BOOST_LEAF_AUTO(era, requireUnsigned(object, "era"));
-    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    BOOST_LEAF_AUTO(era, requireCount(object, "era"));
+    BOOST_LEAF_AUTO(generation, optionalCount(object, recordGenerationField));
     return RecoveredEraRecord{StoreEra(era), generation.value_or(0)};
 }
 
@@ -112,8 +136,8 @@
     BOOST_LEAF_AUTO(primary, requireString(object, "primary"));
     BOOST_LEAF_AUTO(replacing, optionalBool(object, "replacing"));
     BOOST_LEAF_AUTO(changedBy, requireString(object, "changedBy"));
-    BOOST_LEAF_AUTO(attempt, requireUnsigned(object, "attempt"));
-    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    BOOST_LEAF_AUTO(attempt, requireCount(object, "attempt"));
+    BOOST_LEAF_AUTO(generation, optionalCount(object, recordGenerationField));
     return PrimaryRecord{ServiceName(service),
                          EndpointId(primary),
                          replacing.value_or(false),
@@ -126,9 +150,9 @@
 {
     BOOST_LEAF_AUTO(object, parseJsonObject(text));
     BOOST_LEAF_AUTO(holder, requireString(object, "holder"));
-    BOOST_LEAF_AUTO(token, requireUnsigned(object, "fencingToken"));
-    BOOST_LEAF_AUTO(renewal, requireUnsigned(object, "renewal"));
-    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    BOOST_LEAF_AUTO(token, requireCount(object, "fencingToken"));
+    BOOST_LEAF_AUTO(renewal, requireCount(object, "renewal"));
+    BOOST_LEAF_AUTO(generation, optionalCount(object, recordGenerationField));
     return PromotionLeaseRecord{VmId(holder), token, renewal, generation.value_or(0)};
 }
 
@@ -141,7 +165,7 @@
     BOOST_LEAF_AUTO(addressText, requireString(object, "address"));
     BOOST_LEAF_AUTO(address, parsePeerAddress(addressText));
     BOOST_LEAF_AUTO(removed, optionalBool(object, "removed"));
-    BOOST_LEAF_AUTO(generation, optionalUnsigned(object, recordGenerationField));
+    BOOST_LEAF_AUTO(generation, optionalCount(object, recordGenerationField));
     return DaemonRecord{VmId(vm), RegionName(region),      ZoneName(zone.value_or("")),
                         address,  removed.value_or(false), generation.value_or(0)};
 }
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -70,13 +70,20 @@
 /// Kind of a record, as its name tells.
 enum class RecordKind { Primary, Member, PromotionLease, RecoveredEra, Other };
 RecordKind recordKindOf(const std::string &name);
-/// Generation in the text of any record; 0 if there is none.
+/// Service of the primary record of that name.
+ServiceName serviceOfPrimaryRecord(const std::string &name);
+/// Generation in the text of any record; 0 if there is none or it is out of range.
 std::uint64_t recordGeneration(const std::string &text);
 
+/// Counts in records are incremented for good, so those beyond this are not of a daemon. JSON
+/// numbers hold every count up to it.
+inline constexpr std::uint64_t maxRecordCount = std::uint64_t{1} << 53;
+
 std::string encodePrimaryRecord(const PrimaryRecord &record);
 std::string encodePromotionLeaseRecord(const PromotionLeaseRecord &record);
 std::string encodeDaemonRecord(const DaemonRecord &record);
 std::string encodeRecoveredEraRecord(const RecoveredEraRecord &record);
+/// Fail if a field is missing or of another type, or a count is beyond maxRecordCount.
 Result<PrimaryRecord> decodePrimaryRecord(const std::string &text);
 Result<PromotionLeaseRecord> decodePromotionLeaseRecord(const std::string &text);
 Result<DaemonRecord> decodeDaemonRecord(const std::string &text);
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -47,6 +47,7 @@
     const bool changed = state.record != record;
     if (state.record && state.record->primary != record.primary)
         state.primaryTerm.reset();
+    state.droppedPrimary.reset();
     state.record = record;
     state.recordVersion = version;
     state.recordSince = context_.clock.now();
@@ -60,6 +61,18 @@
               {"version", version.revision.value()}});
 }
 
+void ReplacementRunner::dropPrimaryRecord(const ServiceName &service, StoreVersion version)
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() || found->second.recordVersion == version)
+        return;
+    ServiceState &state = found->second;
+    if (state.record)
+        state.droppedPrimary = state.record->primary;
+    state.record.reset();
+    state.recordVersion = version;
+}
+
 void ReplacementRunner::updateLeaseRecord(const PromotionLeaseRecord &record, StoreVersion version)
 {
     lease_.observe(record, version, context_.clock.now());
@@ -161,29 +174,60 @@
 void ReplacementRunner::createRecord(const ServiceLimits &service, ServiceState &state)
 {
     const TimePoint now = context_.clock.now();
-    const EndpointRegistry::Endpoints &endpoints = context_.endpoints.endpoints();
-    const auto primary =
-        std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) {
-            return endpoint.second.entry.service == service.name && endpoint.second.entry.primary;
-        });
-    if (primary == endpoints.end() || context_.records().failing() || state.creatingRecord) {
+    const std::vector<EndpointId> primaries = registeredPrimaries(service.name);
+    const bool known = state.droppedPrimary || !primaries.empty();
+    if (!known || context_.records().failing() || state.creatingRecord) {
         state.creatableSince = now;
         return;
     }
     if (now - state.creatableSince < createDelayPerRank * peers_.members().rankFor(service.name))
         return;
-    state.creatingRecord = true;
     const std::string name = primaryRecordName(service.name);
+    const auto unreadable = context_.records().versionOf(name);
+    // If it is not certain who leads, a replacement finds out.
+    const bool replacing = unreadable || primaries.size() > 1;
+    if (replacing && !peers_.mayAnnounce(now))
+        return;
+    state.creatingRecord = true;
     const PrimaryRecord record{.service = service.name,
-                               .primary = primary->first,
+                               .primary =
+                                   state.droppedPrimary ? *state.droppedPrimary : primaries.front(),
+                               .replacing = replacing,
                                .changedBy = context_.settings.vm,
                                .generation = context_.nextGeneration(name)};
-    context_.putRecord(name, std::nullopt, encodePrimaryRecord(record),
-                       [this, service = service.name](const auto &) {
+    if (replacing)
+        startAnnouncement(service.name, record.generation);
+    context_.putRecord(name, unreadable, encodePrimaryRecord(record),
+                       [this, replacing, service = service.name](const auto &outcome) {
                            services_[service].creatingRecord = false;
+                           if (replacing)
+                               finishAnnouncement(outcome);
                        });
 }
 
+std::vector<EndpointId> ReplacementRunner::registeredPrimaries(const ServiceName &service) const
+{
+    std::vector<EndpointId> primaries = context_.endpointsOf(service);
+    std::erase_if(primaries, [&](const EndpointId &id) {
+        return !context_.endpoints.endpoints().at(id).entry.primary;
+    });
+    return primaries;
+}
+
+// From when it is sent until its outcome is known, an announcement may be executed.
+void ReplacementRunner::startAnnouncement(const ServiceName &service, std::uint64_t generation)
+{
+    noteAnnouncement(service, generation);
+    announcementUncertainUntil_ = context_.clock.now() + lateExecutionLimit;
+}
+
+void ReplacementRunner::finishAnnouncement(const StoreOutcome<StoreVersion> &outcome)
+{
+    const auto *failure = std::get_if<StoreFailure>(&outcome);
+    if (!failure || *failure != StoreFailure::NoAnswer)
+        announcementUncertainUntil_ = context_.clock.now();
+}
+
 ReplacementInput ReplacementRunner::collectInput(const ServiceLimits &service,
                                                  const ServiceState &state,
                                                  const PrimaryReachabilitySummary &reachability)
@@ -282,13 +326,10 @@
     } else if (std::holds_alternative<AskPeersCommand>(command)) {
         peers_.requestReports();
     } else if (const auto *announcement = std::get_if<AnnounceCommand>(&command)) {
-        announcementUncertainUntil_ = context_.clock.now() + lateExecutionLimit;
         putPrimaryRecord(
             announcement->record, [this, service](const StoreOutcome<StoreVersion> &outcome) {
                 const auto *version = std::get_if<StoreVersion>(&outcome);
-                const auto *failure = std::get_if<StoreFailure>(&outcome);
-                if (!failure || *failure != StoreFailure::NoAnswer)
-                    announcementUncertainUntil_ = context_.clock.now();
+                finishAnnouncement(outcome);
                 replacementOf(service)->handleAnnounced(
                     version ? std::optional(*version) : std::nullopt, context_.clock.now());
                 scheduleStep(service);
@@ -348,7 +389,7 @@
     const std::string name = primaryRecordName(record.service);
     record.generation = context_.nextGeneration(name);
     if (record.replacing)
-        noteAnnouncement(record.service, record.generation);
+        startAnnouncement(record.service, record.generation);
     context_.putRecord(name, services_[record.service].recordVersion, encodePrimaryRecord(record),
                        std::move(callback));
 }
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -28,6 +28,13 @@
     {
         return lease_.recoveredRecord(context_.clock.now());
     }
+    /// Takes a version of the service's record that cannot be decoded. Nobody uses the primary
+    /// until a replacement, which writes the record again, has found out who it is.
+    void dropPrimaryRecord(const ServiceName &service, StoreVersion version);
+    void dropLeaseRecord(StoreVersion version)
+    {
+        lease_.observeUnreadable(version, context_.clock.now());
+    }
     void updateLeaseRecord(const PromotionLeaseRecord &record, StoreVersion version);
     /// Notes that this daemon announces a replacement with that generation of the record.
     void noteAnnouncement(const ServiceName &service, std::uint64_t generation)
@@ -54,6 +61,7 @@
     {
         std::unique_ptr<PrimaryReplacement> replacement;
         std::optional<PrimaryRecord> record;
+        std::optional<EndpointId> droppedPrimary; ///< of a record that cannot be decoded any more
         StoreVersion recordVersion;
         TimePoint recordSince{};
         std::uint64_t announcedGeneration = 0; ///< of this daemon's last announcement
@@ -69,6 +77,10 @@
     void tickService(const ServiceLimits &service);
     void notePosition(ServiceState &state, std::optional<TermPosition> position);
     void scheduleStep(const ServiceName &service);
+    /// Endpoints that call themselves primary in their registration.
+    std::vector<EndpointId> registeredPrimaries(const ServiceName &service) const;
+    void startAnnouncement(const ServiceName &service, std::uint64_t generation);
+    void finishAnnouncement(const StoreOutcome<StoreVersion> &outcome);
     void createRecord(const ServiceLimits &service, ServiceState &state);
     ReplacementInput collectInput(const ServiceLimits &service, const ServiceState &state,
                                   const PrimaryReachabilitySummary &reachability);
