Test real daemons beside odd entries in the store

Eighteen odd entries, among the endpoints' and the configuration's and in place of the daemons' own records: nested 400,000 deep, numbers too large, ports out of range, bytes that are no text, names with line ends. Checked: no daemon ends, drains and configurations take effect, primaries are replaced, and daemons that start become ready.

--- a/tests/system/platform_fakes.py
+++ b/tests/system/platform_fakes.py
@@ -17,6 +17,7 @@
         self.era = 1
         self.calls = 0
         self.objects = {}
+        self.foreign = []
         self.events = []
         self.changed = asyncio.Condition()
         self.down = False
@@ -30,6 +31,17 @@
         self.record(kind, item, False)
         return item
 
+    def put_bytes(self, kind, name, spec):
+        """What another writer may leave: any bytes, which the store gives out as they are."""
+        self.foreign.append(spec)
+        return self.put(kind, name, {"foreign bytes": len(self.foreign) - 1})
+
+    def encode(self, answer):
+        text = json.dumps(answer).encode()
+        for number, spec in enumerate(self.foreign):
+            text = text.replace(b'{"foreign bytes": %d}' % number, spec)
+        return text
+
     def delete(self, kind, name):
         item = self.objects.pop((kind, name), None)
         if item:
@@ -73,7 +85,7 @@
                 body = json.loads(await reader.readexactly(length)) if length else {}
                 self.calls += 1
                 status, answer = (503, {}) if self.down else await self.handle(method, target, body)
-                text = json.dumps(answer).encode()
+                text = self.encode(answer)
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\n"
                              b"Content-Length: %d\r\n\r\n" % (status, self.era, len(text)) + text)
                 await writer.drain()
