--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -171,7 +171,7 @@
                     refusedRecords_, [&] { return decodePromotionLeaseRecord(item.text); }, item))
                 replacements_.updateLeaseRecord(*lease, item.version.stored);
             else
-                replacements_.dropLeaseRecord(item.version.stored);
+                replacements_.handleUnreadableLeaseRecord(item.version.stored);
             break;
         case RecordKind::Primary:
             if (const auto record = decodeItem(
@@ -183,8 +183,8 @@
                     item))
                 replacements_.updatePrimaryRecord(*record, item.version.stored);
             else
-                replacements_.dropPrimaryRecord(serviceOfPrimaryRecord(item.name),
-                                                item.version.stored);
+                replacements_.handleUnreadablePrimaryRecord(serviceOfPrimaryRecord(item.name),
+                                                            item.version.stored);
             break;
         case RecordKind::RecoveredEra:
             if (const auto record = decodeItem(
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -47,7 +47,7 @@
     const bool changed = state.record != record;
     if (state.record && state.record->primary != record.primary)
         state.primaryTerm.reset();
-    state.droppedPrimary.reset();
+    state.lastKnownPrimary.reset();
     state.record = record;
     state.recordVersion = version;
     state.recordSince = context_.clock.now();
@@ -61,14 +61,15 @@
               {"version", version.revision.value()}});
 }
 
-void ReplacementRunner::dropPrimaryRecord(const ServiceName &service, StoreVersion version)
+void ReplacementRunner::handleUnreadablePrimaryRecord(const ServiceName &service,
+                                                      StoreVersion version)
 {
     const auto found = services_.find(service);
     if (found == services_.end() || found->second.recordVersion == version)
         return;
     ServiceState &state = found->second;
     if (state.record)
-        state.droppedPrimary = state.record->primary;
+        state.lastKnownPrimary = state.record->primary;
     state.record.reset();
     state.recordVersion = version;
 }
@@ -175,7 +176,7 @@
 {
     const TimePoint now = context_.clock.now();
     const std::vector<EndpointId> primaries = registeredPrimaries(service.name);
-    const bool known = state.droppedPrimary || !primaries.empty();
+    const bool known = state.lastKnownPrimary || !primaries.empty();
     if (!known || context_.records().failing() || state.creatingRecord) {
         state.creatableSince = now;
         return;
@@ -190,8 +191,8 @@
         return;
     state.creatingRecord = true;
     const PrimaryRecord record{.service = service.name,
-                               .primary =
-                                   state.droppedPrimary ? *state.droppedPrimary : primaries.front(),
+                               .primary = state.lastKnownPrimary ? *state.lastKnownPrimary
+                                                                 : primaries.front(),
                                .replacing = replacing,
                                .changedBy = context_.settings.vm,
                                .generation = context_.nextGeneration(name)};
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -30,8 +30,8 @@
     }
     /// Takes a version of the service's record that cannot be decoded. Nobody uses the primary
     /// until a replacement, which writes the record again, has found out who it is.
-    void dropPrimaryRecord(const ServiceName &service, StoreVersion version);
-    void dropLeaseRecord(StoreVersion version)
+    void handleUnreadablePrimaryRecord(const ServiceName &service, StoreVersion version);
+    void handleUnreadableLeaseRecord(StoreVersion version)
     {
         lease_.observeUnreadable(version, context_.clock.now());
     }
@@ -61,7 +61,7 @@
     {
         std::unique_ptr<PrimaryReplacement> replacement;
         std::optional<PrimaryRecord> record;
-        std::optional<EndpointId> droppedPrimary; ///< of a record that cannot be decoded any more
+        std::optional<EndpointId> lastKnownPrimary; ///< while the record cannot be decoded
         StoreVersion recordVersion;
         TimePoint recordSince{};
         std::uint64_t announcedGeneration = 0; ///< of this daemon's last announcement
