Forget the answer of an endpoint whose log may be gone since

What callers would see, with sync_replicas: an endpoint answers the survey, restarts without its log while the replacement waits for others, and is promoted for its former answer; acknowledged commits are gone.

Cause: answers stay until the endpoint answers again, and a restart that the registry reports did not end them.

Change: a reported loss removes the endpoint's answer, and the end of the former primary's log if it is the former primary. Test: answerFromBeforeARestartCounts; without the new call the restarted endpoint is promoted.

--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -425,6 +425,13 @@
         retryAt_ = now + retryDelay;
 }
 
+void PrimaryReplacement::handleLostLog(const EndpointId &endpoint)
+{
+    statuses_.erase(endpoint);
+    if (endpoint == oldPrimary_)
+        finalPosition_.reset();
+}
+
 void PrimaryReplacement::enter(Stage stage, TimePoint now)
 {
     stage_ = stage;
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -109,6 +109,8 @@
     void handleDemoted(std::optional<ReplicationStatus> status, TimePoint now);
     void handlePromoted(PromotionOutcome outcome, TimePoint now);
     void handlePublished(bool published, TimePoint now);
+    /// Forgets what the endpoint answered: its log may be gone since.
+    void handleLostLog(const EndpointId &endpoint);
 
     Stage stage() const { return stage_; }
     /// Why an announced replacement has not chosen a primary yet.
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -327,6 +327,24 @@
     CHECK_TRUE(nextCommandIs<AcquireLeaseCommand>());
 }
 
+// Guards against the promotion of an endpoint that has restarted without its log since it answered.
+TEST(PrimaryReplacement, answerFromBeforeARestartCounts)
+{
+    input.syncReplicas = 1;
+    announce();
+    input.allAcknowledged = true;
+    survey({{first, replicaAt(9)}});
+    input.lostLogs[first] = TermPosition{Term(1), LogPosition(9)};
+    replacement.handleLostLog(first);
+    input.now += 100ms;
+    survey({{second, replicaAt(7)}});
+    input.now += 30s;
+    CHECK_TRUE(nextCommandIs<SurveyCommand>());
+    CHECK_TRUE(replacement.wait() == ChoiceWait::Copies);
+    replacement.handleSurvey({{first, {}}, {second, replicaAt(9)}}, input.now);
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == second);
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -146,8 +146,13 @@
 void ReplacementRunner::noteLostLogs(const std::vector<LostLog> &losses)
 {
     for (const LostLog &loss : losses) {
-        if (const auto found = services_.find(loss.service); found != services_.end())
-            found->second.lostLogs[loss.endpoint] = found->second.newestPosition;
+        const auto found = services_.find(loss.service);
+        if (found == services_.end())
+            continue;
+        ServiceState &state = found->second;
+        state.lostLogs[loss.endpoint] = state.newestPosition;
+        if (state.replacement)
+            state.replacement->handleLostLog(loss.endpoint);
     }
 }
 
