--- a/include/pistachiowood/ids.h
+++ b/include/pistachiowood/ids.h
@@ -15,6 +15,7 @@
 using VmId = StrongValue<struct VmIdTag, std::string>;
 using ZoneName = StrongValue<struct ZoneNameTag, std::string>;
 using RegionName = StrongValue<struct RegionNameTag, std::string>;
+using CustomerName = StrongValue<struct CustomerNameTag, std::string>;
 using TeamName = StrongValue<struct TeamNameTag, std::string>;
 using RequestId = StrongValue<struct RequestIdTag, std::string>;
 using TransactionId = StrongValue<struct TransactionIdTag, std::string>;
--- a/src/gateway/deployment.h
+++ b/src/gateway/deployment.h
@@ -1,6 +1,8 @@
 #ifndef PISTACHIOWOOD_GATEWAY_DEPLOYMENT_H
 #define PISTACHIOWOOD_GATEWAY_DEPLOYMENT_H
 
+#include "customers/customer_directory.h"
+
 #include <pistachiowood/clock.h>
 #include <pistachiowood/ids.h>
 
@@ -31,6 +33,7 @@
     Milliseconds targetLatency{500};
     Milliseconds maxStaleness{0};
     unsigned priority = 0; ///< 0 is the highest
+    bool isPublic = false; ///< callers need no key
 };
 
 struct ServiceLimits
@@ -47,6 +50,8 @@
     std::vector<DatabaseRoute> routes;
     std::vector<ServiceLimits> services;
     Milliseconds transactionIdleTimeout{3000}; ///< idle transactions are aborted after it
+    /// Customers and their keys; null if the configuration has none, so that callers need no key.
+    std::shared_ptr<const CustomerDirectory> customers;
 };
 
 /// Registration of one endpoint.
@@ -91,6 +96,8 @@
     std::map<std::string, DatabaseRoute> routes; ///< by database
     std::map<ServiceName, ServiceView> services;
     Milliseconds transactionIdleTimeout{3000};
+    /// See DeploymentConfiguration.
+    std::shared_ptr<const CustomerDirectory> customers;
     unsigned daemonCount = 1; ///< all daemons, which share the endpoints' connections
 };
 
--- a/src/gateway/statement.cpp
+++ b/src/gateway/statement.cpp
@@ -6,10 +6,12 @@
 
 std::string_view replyCodeName(ReplyCode code)
 {
-    static constexpr std::array<std::string_view, 13> names{
-        "busy",         "aborted", "lagging", "read-only", "misrouted",   "too-many-connections",
-        "no-statement", "failed",  "timeout", "unknown",   "no-database", "malformed",
-        "too-large"};
+    static constexpr std::array<std::string_view, 14> names{
+        "busy",         "aborted",       "lagging",
+        "read-only",    "misrouted",     "too-many-connections",
+        "no-statement", "failed",        "timeout",
+        "unknown",      "no-database",   "malformed",
+        "too-large",    "not-authorized"};
     return names.at(static_cast<std::size_t>(code));
 }
 
--- a/src/gateway/statement.h
+++ b/src/gateway/statement.h
@@ -61,6 +61,7 @@
     NoDatabase,
     Malformed,
     TooLarge,
+    NotAuthorized, ///< the caller's key is unknown; the session ends
 };
 
 /// Name of the code for logs.
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -237,6 +237,7 @@
     auto view = std::make_shared<DeploymentView>();
     view->configurationVersion = context_.configuration->version;
     view->transactionIdleTimeout = context_.configuration->transactionIdleTimeout;
+    view->customers = context_.configuration->customers;
     view->daemonCount = static_cast<unsigned>(peers_.members().otherCount() + 1);
     for (const DatabaseRoute &route : context_.configuration->routes)
         view->routes.emplace(route.database, route);
