Do not publish a primary of a term older than the newest one in force

While the primary of term 2 was unreachable and the replica knew of term 1 only, the old primary of term 1 was published again. The daemons had the term of the present primary only from positions of the last second and forgot it with the record.

Ruled out: the survey itself; the test hands the decision the right answers.

Change: PrimaryRecord holds the newest term in force with the position of its log. Every announcement, publication and first record carries what its writer knows, so no store call is added; records without the fields are read as before. A daemon keeps the newer of the record and the positions that it and its peers report, also while the store holds an older record after a restore; only a later publication replaces what it remembers. An endpoint that leads in an older term is not published.

Tests: PrimaryChoice.formerPrimaryIsPublishedWhileThePresentOneIsUnreachable fails when the comparison is off and passes with it. Records.termInForceIsNotKept, FleetControl.publishedRecordLacksTheTermInForce are for the new field.

--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -403,6 +403,19 @@
     CHECK_TRUE(service().primary == EndpointId("r"));
 }
 
+// Guards against a term in force that is forgotten with the process that published its primary.
+TEST(FleetControl, publishedRecordLacksTheTermInForce)
+{
+    start(true);
+    runFor(500ms);
+    store.change(ObjectGroup::Endpoints, "p", "draining");
+    runFor(1500ms);
+    const std::string text = recordInStore(primaryRecordName(ServiceName("db")));
+    const auto record = capture([&] { return decodePrimaryRecord(text); });
+    const auto newest = std::get<PrimaryRecord>(record).newest;
+    CHECK_TRUE(newest && newest->term == Term(2));
+}
+
 // Guards against the loss of commits that only a replica held which has left: the daemon knew how
 // far the primary's log reached at that time, and promoted a replica that is behind.
 TEST(FleetControl, replicaThatIsBehindOneThatLeftIsPromoted)
--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -68,11 +68,14 @@
 
     bool mayBePublished(const EndpointId &id, const ReplicationStatus &status) const
     {
+        // Another endpoint has been in force since; its commits may be missing from this log.
+        if (evidence_.newest && status.term < evidence_.newest->term)
+            return false;
         // It may have restarted with its whole log.
         if (id == evidence_.formerPrimary)
             return !formerPrimaryDrains() && !formerLogIsLost();
         // An earlier lease holder has promoted it by these rules, but did not publish it.
-        const bool promotedSince = evidence_.formerTerm && status.term > *evidence_.formerTerm;
+        const bool promotedSince = evidence_.newest && status.term > evidence_.newest->term;
         return promotedSince || isComplete(status.received);
     }
 
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_TAKEOVER_PRIMARY_CHOICE_H
 
 #include "gateway/statement.h"
+#include "takeover/term_in_force.h"
 
 #include <pistachiowood/clock.h>
 #include <pistachiowood/ids.h>
@@ -28,7 +29,8 @@
 struct PrimaryEvidence
 {
     EndpointId formerPrimary; ///< the last one that the daemons used
-    std::optional<Term> formerTerm; ///< newest term of the positions that it reported
+    /// Newest term that any daemon is known to have used a primary in; unset if none is known.
+    std::optional<TermInForce> newest;
     std::vector<ReplacementCandidate> candidates; ///< registered endpoints of the service
     std::map<EndpointId, ReplicationStatus> statuses; ///< of the endpoints that answered
     std::set<EndpointId> refused; ///< endpoints that the platform lately did not promote
--- a/src/takeover/primary_choice_test.cpp
+++ b/src/takeover/primary_choice_test.cpp
@@ -117,18 +117,30 @@
 // and the replica that has its commits do not answer.
 TEST(PrimaryChoice, formerLeaderIsPublishedWhileItsSuccessorIsAway)
 {
-    evidence.formerTerm = Term(2);
+    evidence.newest = {Term(2), at(7, 2)};
     evidence.statuses = {{first, {true, Term(1), at(7)}}};
     checkWaits(ChoiceWait::Copies);
-    evidence.formerTerm.reset();
+    evidence.newest.reset();
     checkWaits(ChoiceWait::Copies);
 }
 
+// Guards against a former primary that is published again, without synchronous replicas, while the
+// primary that took its place is unreachable for seconds and a replica knows of no newer term.
+TEST(PrimaryChoice, formerPrimaryIsPublishedWhileThePresentOneIsUnreachable)
+{
+    evidence.syncReplicas = 0;
+    evidence.newest = {Term(2), at(9, 2)};
+    evidence.statuses = {{first, {true, Term(1), at(12)}}, {second, replicaAt(7)}};
+    CHECK_FALSE(choosePrimary(evidence).action == PrimaryChoice::Action::Publish);
+    evidence.statuses[former] = {true, Term(2), at(9, 2)};
+    checkChooses(PrimaryChoice::Action::Publish, former);
+}
+
 // Guards against a service without a primary because the holder of the lease failed between the
 // promotion and its publication.
 TEST(PrimaryChoice, promotedEndpointIsNotPublished)
 {
-    evidence.formerTerm = Term(1);
+    evidence.newest = {Term(1), at(7)};
     evidence.statuses = {{first, {true, Term(2), at(7)}}};
     checkChooses(PrimaryChoice::Action::Publish, first);
 }
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -44,6 +44,14 @@
            && input.now - *input.primaryFailingSince >= primaryFailureTimeout;
 }
 
+// Newest term in force once an endpoint with that status is published.
+TermInForce newestAfterPublishing(const ReplicationStatus &status,
+                                  const std::optional<TermInForce> &newest)
+{
+    const TermInForce published{status.term, status.received};
+    return newest && newest->term == status.term ? *newerTerm(newest, published) : published;
+}
+
 // Whether the endpoint can take the place of a draining primary.
 bool isSuccessor(const ReplacementCandidate &candidate)
 {
@@ -208,7 +216,12 @@
     if (!input.mayAnnounce)
         return std::nullopt;
     pending_ = true;
-    return AnnounceCommand{{service_, oldPrimary_, true, self_, ++attempt_}};
+    return AnnounceCommand{{.service = service_,
+                            .primary = oldPrimary_,
+                            .replacing = true,
+                            .changedBy = self_,
+                            .attempt = ++attempt_,
+                            .newest = input.newest}};
 }
 
 // Whether an endpoint that can take the place of the primary has received what the primary held
@@ -298,7 +311,7 @@
 {
     PrimaryEvidence evidence{
         .formerPrimary = oldPrimary_,
-        .formerTerm = input.primaryTerm,
+        .newest = input.newest,
         .candidates = input.candidates,
         .statuses = statuses_,
         .syncReplicas = input.syncReplicas,
@@ -338,10 +351,18 @@
     return SurveyCommand{{chosen_}};
 }
 
-std::optional<ReplacementCommand> PrimaryReplacement::publish(const ReplacementInput &)
+std::optional<ReplacementCommand> PrimaryReplacement::publish(const ReplacementInput &input)
 {
     pending_ = true;
-    return PublishCommand{{service_, chosen_, false, self_, ++attempt_}};
+    PrimaryRecord record{.service = service_,
+                         .primary = chosen_,
+                         .changedBy = self_,
+                         .attempt = ++attempt_,
+                         .newest = input.newest};
+    // An endpoint that is published leads in its term from now on.
+    if (const auto found = statuses_.find(chosen_); found != statuses_.end())
+        record.newest = newestAfterPublishing(found->second, input.newest);
+    return PublishCommand{record};
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::askPeers(const ReplacementInput &input)
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -37,7 +37,7 @@
     /// This daemon has known the members for the longest lifetime of a permission.
     bool membershipEstablished = true;
     unsigned syncReplicas = 0;
-    std::optional<Term> primaryTerm; ///< newest term of the positions that it reported
+    std::optional<TermInForce> newest; ///< newest term in force that this daemon knows of
     /// Endpoints whose log may be gone; see PrimaryEvidence.
     std::map<EndpointId, std::optional<TermPosition>> lostLogs;
 };
--- a/src/takeover/records.cpp
+++ b/src/takeover/records.cpp
@@ -31,6 +31,18 @@
     return *count;
 }
 
+// Unset in records of earlier versions.
+Result<std::optional<TermInForce>> decodeTermInForce(const boost::json::object &object)
+{
+    BOOST_LEAF_AUTO(term, optionalCount(object, "term"));
+    BOOST_LEAF_AUTO(positionTerm, optionalCount(object, "positionTerm"));
+    BOOST_LEAF_AUTO(position, optionalCount(object, "position"));
+    if (!term)
+        return std::nullopt;
+    return TermInForce{Term(*term),
+                       {Term(positionTerm.value_or(0)), LogPosition(position.value_or(0))}};
+}
+
 } // namespace
 
 std::string primaryRecordName(const ServiceName &service)
@@ -81,14 +93,17 @@
 
 std::string encodePrimaryRecord(const PrimaryRecord &record)
 {
-    return boost::json::serialize(boost::json::object{
-        {"service", record.service.value()},
-        {"primary", record.primary.value()},
-        {"replacing", record.replacing},
-        {"changedBy", record.changedBy.value()},
-        {"attempt", record.attempt},
-        {recordGenerationField, record.generation},
-    });
+    boost::json::object object{
+        {"service", record.service.value()}, {"primary", record.primary.value()},
+        {"replacing", record.replacing},     {"changedBy", record.changedBy.value()},
+        {"attempt", record.attempt},         {recordGenerationField, record.generation},
+    };
+    if (record.newest) {
+        object["term"] = record.newest->term.value();
+        object["positionTerm"] = record.newest->position.term.value();
+        object["position"] = record.newest->position.number.value();
+    }
+    return boost::json::serialize(object);
 }
 
 std::string encodePromotionLeaseRecord(const PromotionLeaseRecord &record)
@@ -138,12 +153,14 @@
     BOOST_LEAF_AUTO(changedBy, requireString(object, "changedBy"));
     BOOST_LEAF_AUTO(attempt, requireCount(object, "attempt"));
     BOOST_LEAF_AUTO(generation, optionalCount(object, recordGenerationField));
+    BOOST_LEAF_AUTO(newest, decodeTermInForce(object));
     return PrimaryRecord{ServiceName(service),
                          EndpointId(primary),
                          replacing.value_or(false),
                          VmId(changedBy),
                          attempt,
-                         generation.value_or(0)};
+                         generation.value_or(0),
+                         newest};
 }
 
 Result<PromotionLeaseRecord> decodePromotionLeaseRecord(const std::string &text)
--- a/src/takeover/records.h
+++ b/src/takeover/records.h
@@ -2,6 +2,7 @@
 #define PISTACHIOWOOD_TAKEOVER_RECORDS_H
 
 #include "takeover/store_version.h"
+#include "takeover/term_in_force.h"
 
 #include <pistachiowood/error.h>
 #include <pistachiowood/ids.h>
@@ -25,6 +26,9 @@
     VmId changedBy;
     std::uint64_t attempt = 0; ///< distinguishes announcements of one daemon
     std::uint64_t generation = 0;
+    /// Newest term in force that the writer knew; unset in records of earlier versions and in the
+    /// first record of a service.
+    std::optional<TermInForce> newest;
 
     friend bool operator==(const PrimaryRecord &, const PrimaryRecord &) = default;
 };
--- a/src/takeover/records_test.cpp
+++ b/src/takeover/records_test.cpp
@@ -11,6 +11,21 @@
 }
 ;
 
+// Guards against records of earlier versions that cannot be read, and against a term that is lost
+// on its way through the store.
+TEST(Records, termInForceIsNotKept)
+{
+    PrimaryRecord record{.service = ServiceName("db"), .primary = EndpointId("p"), .generation = 3};
+    CHECK_FALSE(encodePrimaryRecord(record).find("term") != std::string::npos);
+    for (const auto &newest : {std::optional<TermInForce>(),
+                               std::optional(TermInForce{Term(3), {Term(2), LogPosition(17)}})}) {
+        record.newest = newest;
+        const auto decoded =
+            capture([&] { return decodePrimaryRecord(encodePrimaryRecord(record)); });
+        CHECK_TRUE(std::get<PrimaryRecord>(decoded) == record);
+    }
+}
+
 // Guards against counts of another writer that wrap around when they are incremented: the next
 // fencing token would be smaller than one that was used.
 TEST(Records, tooLargeCountsAreTaken)
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -45,8 +45,7 @@
     if (version == state.recordVersion)
         return;
     const bool changed = state.record != record;
-    if (state.record && state.record->primary != record.primary)
-        state.primaryTerm.reset();
+    noteRecordedTerm(state, record);
     state.lastKnownPrimary.reset();
     state.record = record;
     state.recordVersion = version;
@@ -136,13 +135,25 @@
     if (!position)
         return;
     state.newestPosition = std::max(state.newestPosition, position);
-    state.primaryTerm = std::max(state.primaryTerm, std::optional(position->term));
+    // A position of an older term may be one that the primary had before its term began.
+    if (!state.newest || position->term >= state.newest->term)
+        state.newest = newerTerm(state.newest, TermInForce{position->term, *position});
     for (auto &[endpoint, heldUpTo] : state.lostLogs) {
         if (!heldUpTo)
             heldUpTo = position;
     }
 }
 
+// A publication states the term that is in force from then on, which is older than the newest known
+// one if the service was given up to a log of an older term. Other records, such as those of a
+// restored store, may be older than what this daemon knows.
+void ReplacementRunner::noteRecordedTerm(ServiceState &state, const PrimaryRecord &record)
+{
+    const bool published = !record.replacing && record.newest && state.record
+                           && record.generation > state.record->generation;
+    state.newest = published ? record.newest : newerTerm(state.newest, record.newest);
+}
+
 void ReplacementRunner::noteLostLogs(const std::vector<LostLog> &losses)
 {
     for (const LostLog &loss : losses) {
@@ -200,7 +211,8 @@
                                                                  : primaries.front(),
                                .replacing = replacing,
                                .changedBy = context_.settings.vm,
-                               .generation = context_.nextGeneration(name)};
+                               .generation = context_.nextGeneration(name),
+                               .newest = state.newest};
     if (replacing)
         startAnnouncement(service.name, record.generation);
     context_.putRecord(name, unreadable, encodePrimaryRecord(record),
@@ -248,7 +260,7 @@
                                && state.record->changedBy == context_.settings.vm
                                && state.record->generation == state.announcedGeneration;
     input.syncReplicas = service.syncReplicas;
-    input.primaryTerm = state.primaryTerm;
+    input.newest = state.newest;
     input.lostLogs = state.lostLogs;
     std::map<RegionName, unsigned> endpointsPerRegion;
     const FleetSettings &settings = context_.settings;
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -69,13 +69,14 @@
         bool creatingRecord = false;
         bool waitsForLease = false;
         std::optional<TermPosition> newestPosition; ///< highest one that a primary reported
-        std::optional<Term> primaryTerm; ///< newest term that the present one reported
+        std::optional<TermInForce> newest; ///< newest term in force that this daemon knows of
         /// See PrimaryEvidence. Kept for good: a replica may be behind for any time.
         std::map<EndpointId, std::optional<TermPosition>> lostLogs;
         ChoiceWait loggedWait = ChoiceWait::None;
     };
     void tickService(const ServiceLimits &service);
     void notePosition(ServiceState &state, std::optional<TermPosition> position);
+    static void noteRecordedTerm(ServiceState &state, const PrimaryRecord &record);
     void scheduleStep(const ServiceName &service);
     /// Endpoints that call themselves primary in their registration.
     std::vector<EndpointId> registeredPrimaries(const ServiceName &service) const;
