Do not promote a log of an older term while a holder of the newest may return

P1, whose last commits the terms 2 and 3 had left out, was promoted 2 to 5 s before the holders of those terms were back.

Ruled out: the registrations (the holders were only away), and sync_replicas, which is 0 there.

Change: choosePrimary() knows the newest term in force. A holder leads in it, has entries of it, or ends exactly where the term began while nothing is known to be committed in it. Holders come first; a log of an older term waits up to 15 s (recover_s), counted from when the replacement first lacked a holder, over all attempts of a daemon. Event 1520 names the wait, event 1521 the promotion of an older log. A former primary that returns as a replica with all that it is known to have held may be promoted.

Tests: PrimaryChoice.logOfAnOlderTermIsPromotedBeforeAHolderOfTheNewestOneIsBack fails with a limit of 0 s and passes with 15 s; PrimaryReplacement.attemptsInARowProlongTheWaitForTheNewestTerm fails when the start of the wait is dropped between attempts; PrimaryChoice.logThatEndsWhereAnEmptyTermBeganIsNotPromoted is for a plain crash, which must not wait.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -54,6 +54,8 @@
     EVENT(PermissionRenewed, 1518, Info, "permission to use primaries is back")                            \
     EVENT(RecordsRecovered, 1519, Info, "records of the store's era are complete")                         \
     EVENT(PrimaryWithheld, 1520, Warning, "replacement waits before it chooses a primary")                 \
+    EVENT(OlderTermPromoted, 1521, Warning,                                                                \
+          "no holder of the newest term came back; a log of an older term is promoted")                    \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -15,6 +15,11 @@
 // of milliseconds behind, and a draining endpoint keeps running for seconds.
 constexpr Milliseconds catchUpTimeout{2000};
 
+// How long a log of an older term waits for a holder of the newest one, whose commits its promotion
+// would undo, while it brings back commits that reads of the newest term did not see. A crashed
+// endpoint is back within 7 s; a service must not be without a primary for longer than `recover_s`.
+constexpr Milliseconds newestTermTimeout{15000};
+
 class Selection
 {
 public:
@@ -23,7 +28,12 @@
     {
         for (const auto &[id, status] : evidence.statuses) {
             newestTerm_ = std::max(newestTerm_, status.term);
-            longestLog_ = std::max(longestLog_, status.received);
+            holderAnswered_ = holderAnswered_ || holdsNewestTerm(status, evidence.newest);
+        }
+        // A log that ends in an older term may hold commits that the newest one left out.
+        for (const auto &[id, status] : evidence.statuses) {
+            if (!holderAnswered_ || holdsNewestTerm(status, evidence.newest))
+                longestLog_ = std::max(longestLog_, status.received);
         }
     }
 
@@ -38,7 +48,9 @@
         const ReplacementCandidate *best = findLongestLog();
         if (const ChoiceWait wait = reasonToWait(best); wait != ChoiceWait::None)
             return {.wait = wait};
-        return {PrimaryChoice::Action::Promote, best->id};
+        return {.action = PrimaryChoice::Action::Promote,
+                .endpoint = best->id,
+                .olderTerm = !holdsNewestTerm(*statusOf(best->id), evidence_.newest)};
     }
 
 private:
@@ -137,13 +149,25 @@
         if (!statusOf(candidate.id) || evidence_.refused.count(candidate.id) > 0)
             return false;
         // A former primary that was not demoted may have restarted without its log.
-        return candidate.id != evidence_.formerPrimary || evidence_.finalPosition;
+        return candidate.id != evidence_.formerPrimary || evidence_.finalPosition
+               || formerKeptItsLog();
+    }
+
+    // Whether the former primary, which is a replica now, still has all that it is known to have
+    // had.
+    bool formerKeptItsLog() const
+    {
+        const ReplicationStatus *former = statusOf(evidence_.formerPrimary);
+        return evidence_.newest && !former->primary && holdsNewestTerm(*former, evidence_.newest)
+               && former->received >= evidence_.newest->position
+               && !mayHaveHeldMore(evidence_.formerPrimary, former->received);
     }
 
     const ReplacementCandidate *findLongestLog() const
     {
         const auto preference = [&](const ReplacementCandidate &candidate) {
-            return std::tuple(statusOf(candidate.id)->received,
+            const ReplicationStatus &status = *statusOf(candidate.id);
+            return std::tuple(holdsNewestTerm(status, evidence_.newest), status.received,
                               candidate.id != evidence_.formerPrimary, !candidate.draining,
                               candidate.registered, candidate.endpointsInRegion);
         };
@@ -160,15 +184,17 @@
         if (!best)
             return ChoiceWait::Answers;
         const TermPosition position = statusOf(best->id)->received;
+        const bool newest = holdsNewestTerm(*statusOf(best->id), evidence_.newest);
         if (mayCatchUp(*best) && evidence_.waited < catchUpTimeout)
             return ChoiceWait::CatchUp;
-        if (holdsFormerLog(position))
+        if (newest && holdsFormerLog(position))
             return ChoiceWait::None;
         if (missesReplicas() && evidence_.waited < replicaAnswerTimeout)
             return ChoiceWait::Answers;
-        if (isComplete(position))
-            return ChoiceWait::None;
-        return position < longestLog_ ? ChoiceWait::LongestLog : ChoiceWait::Copies;
+        if (!isComplete(position))
+            return position < longestLog_ ? ChoiceWait::LongestLog : ChoiceWait::Copies;
+        return newest || evidence_.holderMissing >= newestTermTimeout ? ChoiceWait::None
+                                                                      : ChoiceWait::NewestTerm;
     }
 
     // Whether a replica may still receive commits of the demoted primary that all replicas lack.
@@ -190,18 +216,26 @@
 
     const PrimaryEvidence &evidence_;
     Term newestTerm_;
-    TermPosition longestLog_;
+    bool holderAnswered_ = false;
+    TermPosition longestLog_; ///< of the holders of the newest term, if any answered
 };
 
 } // namespace
 
 std::string_view choiceWaitName(ChoiceWait wait)
 {
-    constexpr std::array<std::string_view, 5> names{"none", "answers of replicas", "end of the log",
-                                                    "missing copies", "longest log"};
+    constexpr std::array<std::string_view, 6> names{"none",           "answers of replicas",
+                                                    "end of the log", "missing copies",
+                                                    "longest log",    "holder of the newest term"};
     return names.at(static_cast<std::size_t>(wait));
 }
 
+bool holdsNewestTerm(const ReplicationStatus &status, const std::optional<TermInForce> &newest)
+{
+    return !newest || (status.primary && status.term >= newest->term)
+           || status.received.term >= newest->term || status.received == newest->position;
+}
+
 PrimaryChoice choosePrimary(const PrimaryEvidence &evidence)
 {
     return Selection(evidence).choose();
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -36,6 +36,9 @@
     std::set<EndpointId> refused; ///< endpoints that the platform lately did not promote
     unsigned syncReplicas = 0; ///< replicas that hold a commit before it is acknowledged
     Milliseconds waited{0}; ///< time since the endpoints were first asked
+    /// Time since the replacement first lacked an answer of an endpoint that holds the newest term,
+    /// over all attempts.
+    Milliseconds holderMissing{0};
     bool demotionTried = false; ///< the former primary has been asked to step down
     /// Endpoints whose log may be gone, and the position up to which they may have held commits;
     /// nullopt if that is unknown.
@@ -51,6 +54,7 @@
     CatchUp, ///< the replicas may still receive the end of the former primary's log
     Copies, ///< too many of the endpoints that may hold acknowledged commits did not answer
     LongestLog, ///< the endpoint with the longest log cannot be promoted now
+    NewestTerm, ///< only logs of older terms answered; a holder of the newest one may come back
 };
 
 /// Name of the reason for logs.
@@ -70,12 +74,19 @@
     EndpointId endpoint;
     Term term;
     ChoiceWait wait = ChoiceWait::None;
+    bool olderTerm = false; ///< the log to promote is of an older term than the newest in force
 };
 
+/// Whether an endpoint with that status holds the log of the newest term in force: it leads in it
+/// or has entries of it, or nothing was committed in it and the log ends where that term began.
+bool holdsNewestTerm(const ReplicationStatus &status, const std::optional<TermInForce> &newest);
+
 /// Decides which endpoint leads the service next. An endpoint whose log lacks commits that an
 /// endpoint that answered holds is never chosen, whether that one drains, is not registered or was
 /// the former primary; where the service has synchronous replicas, nor is one as long as the
-/// endpoints that did not answer may hold acknowledged commits that it lacks. Performs no I/O.
+/// endpoints that did not answer may hold acknowledged commits that it lacks. A log of an older
+/// term than the newest one in force is promoted only after 15 s without a holder of that term.
+/// Performs no I/O.
 PrimaryChoice choosePrimary(const PrimaryEvidence &evidence);
 
 } // namespace pistachiowood
--- a/src/takeover/primary_choice_test.cpp
+++ b/src/takeover/primary_choice_test.cpp
@@ -136,6 +136,38 @@
     checkChooses(PrimaryChoice::Action::Publish, former);
 }
 
+// Guards against a log of an older term that is promoted while the holders of the newer one are
+// away for seconds, and against a service that waits for them for longer than 15 s.
+TEST(PrimaryChoice, logOfAnOlderTermIsPromotedBeforeAHolderOfTheNewestOneIsBack)
+{
+    evidence.syncReplicas = 0;
+    evidence.newest = {Term(3), at(9, 3)};
+    evidence.statuses = {{first, replicaAt(50)}};
+    evidence.holderMissing = 14999ms;
+    checkWaits(ChoiceWait::NewestTerm);
+    evidence.holderMissing = 15s;
+    checkChooses(PrimaryChoice::Action::Promote, first);
+    CHECK_TRUE(choosePrimary(evidence).olderTerm);
+    evidence.holderMissing = 0s;
+    evidence.statuses[second] = {false, Term(3), at(8, 3)};
+    checkChooses(PrimaryChoice::Action::Promote, second);
+    CHECK_FALSE(choosePrimary(evidence).olderTerm);
+    evidence.statuses = {{first, replicaAt(50)}, {former, {false, Term(3), at(9, 3)}}};
+    checkChooses(PrimaryChoice::Action::Promote, former);
+}
+
+// Guards against a slower replacement of a primary that has committed nothing in its term, and
+// against commits of the term before it that only a log which left its history holds.
+TEST(PrimaryChoice, logThatEndsWhereAnEmptyTermBeganIsNotPromoted)
+{
+    evidence.newest = {Term(2), at(9)};
+    evidence.statuses = {{first, replicaAt(12)}, {second, replicaAt(9)}};
+    for (const unsigned syncReplicas : {0U, 1U}) {
+        evidence.syncReplicas = syncReplicas;
+        checkChooses(PrimaryChoice::Action::Promote, second);
+    }
+}
+
 // Guards against a service without a primary because the holder of the lease failed between the
 // promotion and its publication.
 TEST(PrimaryChoice, promotedEndpointIsNotPublished)
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -133,6 +133,8 @@
         reason_ = reason;
         reasonSince_ = input.now;
     }
+    if (!input.record->replacing)
+        holderMissingSince_.reset();
     if (reason == Reason::None)
         return std::nullopt;
     const bool present = std::any_of(input.candidates.begin(), input.candidates.end(),
@@ -262,6 +264,7 @@
 {
     if (!surveySince_)
         surveySince_ = input.now;
+    noteMissingHolder(input);
     if (!statuses_.empty()) {
         if (auto command = followChoice(input))
             return command;
@@ -269,6 +272,20 @@
     return surveyCandidates(input);
 }
 
+void PrimaryReplacement::noteMissingHolder(const ReplacementInput &input)
+{
+    const bool answered = std::any_of(statuses_.begin(), statuses_.end(), [&](const auto &entry) {
+        return holdsNewestTerm(entry.second, input.newest);
+    });
+    if (answered || holderMissingSince_)
+        return;
+    holderMissingSince_ = input.now;
+    // Another daemon may have waited before; it surveyed at the latest from this time on.
+    if (!input.announcedByThisRun)
+        holderMissingSince_ = std::min(
+            input.now, PrimaryPermission::effectiveWithoutAcknowledgement(input.recordSince));
+}
+
 std::optional<ReplacementCommand>
 PrimaryReplacement::surveyCandidates(const ReplacementInput &input)
 {
@@ -301,6 +318,7 @@
         return DemoteCommand{choice.endpoint, choice.term};
     case PrimaryChoice::Action::Promote:
         chosen_ = choice.endpoint;
+        chosenOlderTerm_ = choice.olderTerm;
         enter(Stage::Promoting, input.now);
         return promote(input);
     }
@@ -319,6 +337,9 @@
         .demotionTried = demotionTried_,
         .lostLogs = input.lostLogs,
         .finalPosition = finalPosition_};
+    if (holderMissingSince_)
+        evidence.holderMissing =
+            std::chrono::duration_cast<Milliseconds>(input.now - *holderMissingSince_);
     for (const auto &[endpoint, until] : refusedUntil_) {
         if (input.now < until)
             evidence.refused.insert(endpoint);
@@ -329,7 +350,7 @@
 std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &)
 {
     pending_ = true;
-    return PromoteCommand{chosen_};
+    return PromoteCommand{chosen_, chosenOlderTerm_};
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::verify(const ReplacementInput &input)
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -68,6 +68,7 @@
 struct PromoteCommand
 {
     EndpointId endpoint;
+    bool olderTerm = false; ///< its log is of an older term than the newest one in force
 };
 /// Stores the record of the new primary.
 struct PublishCommand
@@ -136,6 +137,7 @@
     bool successorKeepsUp(const ReplacementInput &input);
     std::optional<ReplacementCommand> awaitAcknowledgements(const ReplacementInput &input);
     std::optional<ReplacementCommand> survey(const ReplacementInput &input);
+    void noteMissingHolder(const ReplacementInput &input);
     std::optional<ReplacementCommand> surveyCandidates(const ReplacementInput &input);
     std::optional<ReplacementCommand> followChoice(const ReplacementInput &input);
     PrimaryEvidence collectEvidence(const ReplacementInput &input) const;
@@ -170,6 +172,10 @@
     /// Endpoints that the platform could not promote, and when to try them again.
     std::map<EndpointId, TimePoint> refusedUntil_;
     EndpointId chosen_;
+    bool chosenOlderTerm_ = false;
+    /// Since when the service lacks an answer of a holder of the newest term. Kept when an attempt
+    /// ends, so that attempts in a row do not prolong the wait.
+    std::optional<TimePoint> holderMissingSince_;
     ChoiceWait wait_ = ChoiceWait::None;
 };
 
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -345,6 +345,30 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == second);
 }
 
+// Guards against a wait for a holder of the newest term that starts over with each attempt.
+TEST(PrimaryReplacement, attemptsInARowProlongTheWaitForTheNewestTerm)
+{
+    input.newest = {Term(3), {Term(3), LogPosition(9)}};
+    input.announcedByThisRun = true;
+    announce();
+    input.allAcknowledged = true;
+    const TimePoint start = input.now;
+    survey({{first, replicaAt(7)}});
+    input.now += 10s;
+    CHECK_FALSE(nextCommandIs<PromoteCommand>());
+    replacement.handleSurvey({{first, replicaAt(7)}}, input.now);
+    CHECK_TRUE(replacement.wait() == ChoiceWait::NewestTerm);
+    input.leaseHeld = false;
+    input.leaseAvailable = false;
+    replacement.step(input);
+    CHECK_TRUE(replacement.stage() == PrimaryReplacement::Stage::Monitoring);
+    input.leaseHeld = true;
+    input.now += 100ms;
+    survey({{first, replicaAt(7)}});
+    input.now = start + 15s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().olderTerm);
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -364,7 +364,7 @@
                 }
             });
     } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
-        promote(service, promotion->endpoint);
+        promote(service, *promotion);
     } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
         putPrimaryRecord(
             publication->record, [this, service](const StoreOutcome<StoreVersion> &outcome) {
@@ -421,15 +421,21 @@
                     });
 }
 
-void ReplacementRunner::promote(const ServiceName &service, const EndpointId &endpoint)
+void ReplacementRunner::promote(const ServiceName &service, const PromoteCommand &command)
 {
     const TimePoint now = context_.clock.now();
     if (!lease_.held(now) || peers_.promised(now)) {
         replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
         return;
     }
+    const EndpointId &endpoint = command.endpoint;
     logEvent(Event::PromotionOrdered,
              {{"service", service.value()}, {"endpoint", endpoint.value()}});
+    if (command.olderTerm)
+        logEvent(Event::OlderTermPromoted,
+                 {{"service", service.value()},
+                  {"endpoint", endpoint.value()},
+                  {"newest_term", services_[service].newest->term.value()}});
     context_.promotions.promote(
         service, endpoint, context_.settings.vm, lease_.fencingToken(), promotionTimeout,
         [this, alive = context_.alive, service](PromotionOutcome outcome) {
--- a/src/takeover/replacement_runner.h
+++ b/src/takeover/replacement_runner.h
@@ -92,7 +92,7 @@
     void acquireLease();
     void putPrimaryRecord(PrimaryRecord record, FleetContext::RecordCallback callback);
     void survey(const ServiceName &service, const std::vector<EndpointId> &endpoints);
-    void promote(const ServiceName &service, const EndpointId &endpoint);
+    void promote(const ServiceName &service, const PromoteCommand &command);
 
     FleetContext &context_;
     FleetPeers &peers_;
