--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -44,6 +44,14 @@
            && input.now - *input.primaryFailingSince >= primaryFailureTimeout;
 }
 
+// Newest term in force once an endpoint with that status is published.
+TermInForce newestAfterPublishing(const ReplicationStatus &status,
+                                  const std::optional<TermInForce> &newest)
+{
+    const TermInForce published{status.term, status.received};
+    return newest && newest->term == status.term ? *newerTerm(newest, published) : published;
+}
+
 // Whether the endpoint can take the place of a draining primary.
 bool isSuccessor(const ReplacementCandidate &candidate)
 {
@@ -125,6 +133,8 @@
         reason_ = reason;
         reasonSince_ = input.now;
     }
+    if (!input.record->replacing)
+        holderMissingSince_.reset();
     if (reason == Reason::None)
         return std::nullopt;
     const bool present = std::any_of(input.candidates.begin(), input.candidates.end(),
@@ -208,7 +218,12 @@
     if (!input.mayAnnounce)
         return std::nullopt;
     pending_ = true;
-    return AnnounceCommand{{service_, oldPrimary_, true, self_, ++attempt_}};
+    return AnnounceCommand{{.service = service_,
+                            .primary = oldPrimary_,
+                            .replacing = true,
+                            .changedBy = self_,
+                            .attempt = ++attempt_,
+                            .newest = input.newest}};
 }
 
 // Whether an endpoint that can take the place of the primary has received what the primary held
@@ -249,6 +264,7 @@
 {
     if (!surveySince_)
         surveySince_ = input.now;
+    noteMissingHolder(input);
     if (!statuses_.empty()) {
         if (auto command = followChoice(input))
             return command;
@@ -256,6 +272,20 @@
     return surveyCandidates(input);
 }
 
+void PrimaryReplacement::noteMissingHolder(const ReplacementInput &input)
+{
+    const bool answered = std::any_of(statuses_.begin(), statuses_.end(), [&](const auto &entry) {
+        return holdsNewestTerm(entry.second, input.newest);
+    });
+    if (answered || holderMissingSince_)
+        return;
+    holderMissingSince_ = input.now;
+    // Another daemon may have waited before; it surveyed at the latest from this time on.
+    if (!input.announcedByThisRun)
+        holderMissingSince_ = std::min(
+            input.now, PrimaryPermission::effectiveWithoutAcknowledgement(input.recordSince));
+}
+
 std::optional<ReplacementCommand>
 PrimaryReplacement::surveyCandidates(const ReplacementInput &input)
 {
@@ -288,6 +318,7 @@
         return DemoteCommand{choice.endpoint, choice.term};
     case PrimaryChoice::Action::Promote:
         chosen_ = choice.endpoint;
+        chosenOlderTerm_ = choice.olderTerm;
         enter(Stage::Promoting, input.now);
         return promote(input);
     }
@@ -298,7 +329,7 @@
 {
     PrimaryEvidence evidence{
         .formerPrimary = oldPrimary_,
-        .formerTerm = input.primaryTerm,
+        .newest = input.newest,
         .candidates = input.candidates,
         .statuses = statuses_,
         .syncReplicas = input.syncReplicas,
@@ -306,6 +337,9 @@
         .demotionTried = demotionTried_,
         .lostLogs = input.lostLogs,
         .finalPosition = finalPosition_};
+    if (holderMissingSince_)
+        evidence.holderMissing =
+            std::chrono::duration_cast<Milliseconds>(input.now - *holderMissingSince_);
     for (const auto &[endpoint, until] : refusedUntil_) {
         if (input.now < until)
             evidence.refused.insert(endpoint);
@@ -316,7 +350,7 @@
 std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &)
 {
     pending_ = true;
-    return PromoteCommand{chosen_};
+    return PromoteCommand{chosen_, chosenOlderTerm_};
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::verify(const ReplacementInput &input)
@@ -338,10 +372,18 @@
     return SurveyCommand{{chosen_}};
 }
 
-std::optional<ReplacementCommand> PrimaryReplacement::publish(const ReplacementInput &)
+std::optional<ReplacementCommand> PrimaryReplacement::publish(const ReplacementInput &input)
 {
     pending_ = true;
-    return PublishCommand{{service_, chosen_, false, self_, ++attempt_}};
+    PrimaryRecord record{.service = service_,
+                         .primary = chosen_,
+                         .changedBy = self_,
+                         .attempt = ++attempt_,
+                         .newest = input.newest};
+    // An endpoint that is published leads in its term from now on.
+    if (const auto found = statuses_.find(chosen_); found != statuses_.end())
+        record.newest = newestAfterPublishing(found->second, input.newest);
+    return PublishCommand{record};
 }
 
 std::optional<ReplacementCommand> PrimaryReplacement::askPeers(const ReplacementInput &input)
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -45,8 +45,7 @@
     if (version == state.recordVersion)
         return;
     const bool changed = state.record != record;
-    if (state.record && state.record->primary != record.primary)
-        state.primaryTerm.reset();
+    noteRecordedTerm(state, record);
     state.lastKnownPrimary.reset();
     state.record = record;
     state.recordVersion = version;
@@ -136,13 +135,25 @@
     if (!position)
         return;
     state.newestPosition = std::max(state.newestPosition, position);
-    state.primaryTerm = std::max(state.primaryTerm, std::optional(position->term));
+    // A position of an older term may be one that the primary had before its term began.
+    if (!state.newest || position->term >= state.newest->term)
+        state.newest = newerTerm(state.newest, TermInForce{position->term, *position});
     for (auto &[endpoint, heldUpTo] : state.lostLogs) {
         if (!heldUpTo)
             heldUpTo = position;
     }
 }
 
+// A publication states the term that is in force from then on, which is older than the newest known
+// one if the service was given up to a log of an older term. Other records, such as those of a
+// restored store, may be older than what this daemon knows.
+void ReplacementRunner::noteRecordedTerm(ServiceState &state, const PrimaryRecord &record)
+{
+    const bool published = !record.replacing && record.newest && state.record
+                           && record.generation > state.record->generation;
+    state.newest = published ? record.newest : newerTerm(state.newest, record.newest);
+}
+
 void ReplacementRunner::noteLostLogs(const std::vector<LostLog> &losses)
 {
     for (const LostLog &loss : losses) {
@@ -200,7 +211,8 @@
                                                                  : primaries.front(),
                                .replacing = replacing,
                                .changedBy = context_.settings.vm,
-                               .generation = context_.nextGeneration(name)};
+                               .generation = context_.nextGeneration(name),
+                               .newest = state.newest};
     if (replacing)
         startAnnouncement(service.name, record.generation);
     context_.putRecord(name, unreadable, encodePrimaryRecord(record),
@@ -248,7 +260,7 @@
                                && state.record->changedBy == context_.settings.vm
                                && state.record->generation == state.announcedGeneration;
     input.syncReplicas = service.syncReplicas;
-    input.primaryTerm = state.primaryTerm;
+    input.newest = state.newest;
     input.lostLogs = state.lostLogs;
     std::map<RegionName, unsigned> endpointsPerRegion;
     const FleetSettings &settings = context_.settings;
@@ -352,7 +364,7 @@
                 }
             });
     } else if (const auto *promotion = std::get_if<PromoteCommand>(&command)) {
-        promote(service, promotion->endpoint);
+        promote(service, *promotion);
     } else if (const auto *publication = std::get_if<PublishCommand>(&command)) {
         putPrimaryRecord(
             publication->record, [this, service](const StoreOutcome<StoreVersion> &outcome) {
@@ -409,15 +421,21 @@
                     });
 }
 
-void ReplacementRunner::promote(const ServiceName &service, const EndpointId &endpoint)
+void ReplacementRunner::promote(const ServiceName &service, const PromoteCommand &command)
 {
     const TimePoint now = context_.clock.now();
     if (!lease_.held(now) || peers_.promised(now)) {
         replacementOf(service)->handlePromoted(PromotionOutcome::Refused, now);
         return;
     }
+    const EndpointId &endpoint = command.endpoint;
     logEvent(Event::PromotionOrdered,
              {{"service", service.value()}, {"endpoint", endpoint.value()}});
+    if (command.olderTerm)
+        logEvent(Event::OlderTermPromoted,
+                 {{"service", service.value()},
+                  {"endpoint", endpoint.value()},
+                  {"newest_term", services_[service].newest->term.value()}});
     context_.promotions.promote(
         service, endpoint, context_.settings.vm, lease_.fencingToken(), promotionTimeout,
         [this, alive = context_.alive, service](PromotionOutcome outcome) {
