--- a/src/net/http_test.cpp
+++ b/src/net/http_test.cpp
@@ -1,4 +1,5 @@
 #include "net/http.h"
+#include "net/http_codec.h"
 
 #include <netinet/in.h>
 #include <string>
@@ -168,3 +169,18 @@
     STRCMP_EQUAL("7", response.findHeader("store-age")->c_str());
     CHECK_TRUE(response.findHeader("store") == nullptr);
 }
+
+// Guards against a request inside another one: heads and chunk sizes end their lines at CR LF
+// alone.
+TEST_GROUP(HttpLines){};
+
+TEST(HttpLines, loneLineFeedEndsNoLine)
+{
+    const std::string chunked = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::string input :
+         {std::string("GET /a HTTP/1.1\nHost: x\n\n"),
+          std::string("GET /a HTTP/1.1\r\nA: b\nHost: x\r\n\r\n"), chunked + "1\nx\r\n0\r\n\r\n"}) {
+        HttpRequestParser parser{HttpLimits{}};
+        CHECK_TRUE(parser.parse(input) == ParseState::Malformed);
+    }
+}
--- a/tests/property/line_codec_property.cpp
+++ b/tests/property/line_codec_property.cpp
@@ -27,61 +27,86 @@
                                            "ERR NEWCODE x"};
 const std::vector<std::string> readyLines{"READY T 3.9", "READY I -", "READY E -"};
 
-// Guards against lines that depend on how TCP splits the bytes.
+// Lines of a text that arrives in these pieces, and last what is not a line yet.
+std::vector<std::string> splitIntoLines(const std::vector<std::string> &pieces)
+{
+    std::vector<std::string> lines;
+    LineReader reader;
+    std::string input;
+    std::string_view line;
+    for (const std::string &piece : pieces) {
+        input += piece;
+        while (reader.next(input, line) == LineState::Complete)
+            lines.emplace_back(line);
+        reader.discardRead(input);
+    }
+    lines.push_back(input);
+    return lines;
+}
+
+std::vector<std::string> cutAnywhere(const std::string &text)
+{
+    std::vector<std::string> pieces;
+    for (std::size_t begin = 0; begin < text.size(); begin += pieces.back().size())
+        pieces.push_back(text.substr(begin, *rc::gen::inRange<std::size_t>(1, 20)));
+    return pieces;
+}
+
+// Guards against lines that depend on how TCP splits the bytes, and against a line that ends
+// elsewhere than at CR LF.
 bool linesAreIndependentOfSplits()
 {
     return rc::check("lines are independent of how the input is split", [] {
         const auto text =
-            *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab \r\n")));
-        const auto collect = [](const std::vector<std::string> &pieces) {
-            std::vector<std::string> lines;
-            std::string input;
-            std::string line;
-            for (const std::string &piece : pieces) {
-                input += piece;
-                while (takeLine(input, line) == LineState::Complete)
-                    lines.push_back(line);
-            }
-            lines.push_back(input);
-            return lines;
-        };
-        const auto split = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
-        RC_ASSERT(collect({text}) == collect({text.substr(0, split), text.substr(split)}));
+            *rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab \r\r\n\n\0", 8)));
+        const auto lines = splitIntoLines(cutAnywhere(text));
+        std::string joined;
+        for (std::size_t i = 0; i < lines.size(); ++i) {
+            RC_ASSERT(lines[i].find("\r\n") == std::string::npos);
+            joined += lines[i] + (i + 1 < lines.size() ? "\r\n" : "");
+        }
+        RC_ASSERT(joined == text);
     });
 }
 
-// Guards against a statement that reaches the endpoint with another text, or as two lines.
+// Guards against a statement that reaches the endpoint with another text, and against one that
+// no caller sent: arbitrary bytes in pieces of any size are run as sent or not at all.
 bool acceptedStatementsArePassedOnUnchanged()
 {
     return rc::check("accepted statements are passed on unchanged", [] {
-        std::string line = mutate(*rc::gen::elementOf(callerSamples));
-        std::erase(line, '\n'); // takeLine() splits the input there, before the decoder
-        const CallerMessage message = decodeCallerMessage(line);
-        if (message.kind != CallerMessage::Kind::Statement
-            || message.statement.verb == Verb::Malformed)
-            return;
-        const std::string sent = encodeStatement(message.statement);
-        RC_ASSERT(sent == line + "\r\n");
-        RC_ASSERT(decodeCallerMessage(sent.substr(0, sent.size() - 2)).statement.verb
-                  == message.statement.verb);
+        std::string sent;
+        std::vector<std::string> accepted;
+        for (auto count = *rc::gen::inRange(1, 6); count > 0; --count) {
+            std::string line = mutate(*rc::gen::elementOf(callerSamples));
+            line.insert(*rc::gen::inRange<std::size_t>(0, line.size() + 1),
+                        *rc::gen::elementOf(std::vector<std::string>{
+                            "", "\n", "\r", "\nQUERY 9 WRITE x y", std::string(1, '\0')}));
+            sent += line + "\r\n";
+        }
+        std::string passedOn;
+        auto received = splitIntoLines(cutAnywhere(sent));
+        RC_ASSERT(received.back().empty());
+        received.pop_back();
+        for (const std::string &line : received) {
+            const CallerMessage message = decodeCallerMessage(line);
+            if (message.kind != CallerMessage::Kind::Statement
+                || message.statement.verb == Verb::Malformed)
+                continue;
+            accepted.push_back(line);
+            passedOn += encodeStatement(message.statement);
+        }
+        accepted.emplace_back();
+        RC_ASSERT(splitIntoLines(cutAnywhere(passedOn)) == accepted);
     });
 }
 
 // Guards against a reply that changes on its way to the caller.
 bool repliesAreRelayedUnchanged()
 {
-    const auto linesOf = [](std::string text) {
-        std::vector<std::string> lines;
-        std::string line;
-        while (takeLine(text, line) == LineState::Complete)
-            lines.push_back(line);
-        return lines;
-    };
     return rc::check("replies are relayed unchanged", [&] {
         ReplyDecoder decoder;
-        for (auto lines = *rc::gen::inRange(0, 6); lines > 0; --lines) {
-            std::string row = "ROW " + mutate("a b");
-            std::erase(row, '\n');
+        for (auto rows = *rc::gen::inRange(0, 6); rows > 0; --rows) {
+            std::string row = "ROW " + mutate("a\nb");
             std::erase(row, '\r');
             RC_ASSERT(decoder.addLine(row) == ReplyDecoder::State::NeedMore);
         }
@@ -90,7 +115,9 @@
                   == ReplyDecoder::State::Complete);
         const std::string relayed = encodeReply(decoder.takeReply());
         ReplyDecoder relayedDecoder;
-        for (const std::string &line : linesOf(relayed))
+        auto lines = splitIntoLines(cutAnywhere(relayed));
+        lines.pop_back();
+        for (const std::string &line : lines)
             RC_ASSERT(relayedDecoder.addLine(line) != ReplyDecoder::State::Invalid);
         RC_ASSERT(encodeReply(relayedDecoder.takeReply()) == relayed);
     });
