--- a/src/customers/customer_directory.h
+++ b/src/customers/customer_directory.h
@@ -44,7 +44,7 @@
         std::optional<OperationLimit> limit;
     };
 
-    /// Fails if two customers have the same name or key.
+    /// Fails if two customers have the same name or key. The error never holds a key.
     static Result<std::shared_ptr<const CustomerDirectory>> build(std::vector<Customer> customers);
     ~CustomerDirectory();
 
@@ -54,6 +54,8 @@
     /// Null if there is no such customer.
     const Entry *find(const CustomerName &name) const;
     const std::map<CustomerName, Entry> &customers() const;
+    /// Number of different keys.
+    std::size_t keyCount() const;
 
 private:
     CustomerDirectory();
