Demand a key of callers, and open connections for one customer each

START takes a key as its last field. A session on a route that is not public needs the key of a customer; otherwise it gets NOAUTH and nothing is run. The database is checked first, because its route decides whether a key is needed. With each new view, sessions whose key is withdrawn or has moved, or whose route is no longer public, end: idle ones are closed, a running statement is answered, an open transaction is rolled back and its next statement aborted.

Endpoints are told the customer in START. A pooled connection serves one customer; one pool for each endpoint stays, so that the share is common. Idle connections of other customers are closed for a waiter when the share is taken. A customer without any connection gets the place of another's after 50 ms; without that, one customer that uses the whole share keeps out the rest.

Events 1205 to 1207, without any text of the caller: a key may be sent in place of the database.

The operations page test also reads session_refusals.cpp, where the reasons of refused sessions are now.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -22,6 +22,10 @@
     EVENT(TaskFailed, 1101, Error, "unexpected error in a task or a connection, which was ended")          \
     EVENT(AcceptFailed, 1102, Warning, "connection of a peer could not be accepted; trying again")         \
     EVENT(StatementFailed, 1200, Debug, "statement failed")                                                \
+    EVENT(SessionRefused, 1205, Info, "session of a caller refused")                                       \
+    EVENT(SessionsRefused, 1206, Info, "sessions refused since the start, by reason")                      \
+    EVENT(SessionsWithdrawn, 1207, Info,                                                                   \
+          "sessions end because a new configuration no longer entitles them")                              \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_session.h"
 
+#include <openssl/crypto.h>
+
 #include <utility>
 
 namespace pistachiowood {
@@ -11,10 +13,13 @@
 
 } // namespace
 
-CallerSession::CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route)
+CallerSession::CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route,
+                             SessionCredentials credentials)
     : context_(context)
     , channel_(channel)
     , route_(std::move(route))
+    , customer_(std::move(credentials.customer))
+    , key_(std::move(credentials.key))
 {
 }
 
@@ -27,6 +32,7 @@
     }
     if (connection_)
         connection_->pool().release(*connection_);
+    OPENSSL_cleanse(key_.data(), key_.size());
 }
 
 SessionPhase CallerSession::phase() const
@@ -50,6 +56,11 @@
 
 void CallerSession::startStatement(SessionStatement statement)
 {
+    if (withdrawn_) {
+        endTransaction();
+        replyLocally(ReplyCode::Aborted, "the session is no longer entitled to the database");
+        return;
+    }
     if (transaction_)
         transaction_->lastActivity = context_.clock().now();
     switch (statement.verb) {
@@ -165,6 +176,8 @@
     if (queuedStatements_.empty()) {
         if (abortRequested_)
             abortTransactionAndClose();
+        else if (withdrawn_)
+            endWithdrawnSession();
         else if (draining_ && !transaction_ && !transactionFailed_)
             channel_.close();
         return;
@@ -174,8 +187,46 @@
     startStatement(std::move(next));
 }
 
+bool CallerSession::isEntitled() const
+{
+    const CustomerDirectory *customers = context_.view().customers.get();
+    if (customer_)
+        return customers && customers->findByKey(key_) == customer_;
+    const auto route = context_.view().routes.find(route_.database);
+    // Statements for a database without a route are refused later.
+    return !customers || route == context_.view().routes.end() || route->second.isPublic;
+}
+
+bool CallerSession::checkEntitlement()
+{
+    if (withdrawn_ || isEntitled())
+        return false;
+    withdrawn_ = true;
+    if (!execution_)
+        endWithdrawnSession();
+    return true;
+}
+
+// The transaction is rolled back at once, so that a withdrawn customer holds no locks.
+void CallerSession::endWithdrawnSession()
+{
+    if (!transaction_) {
+        channel_.close();
+        return;
+    }
+    transaction_->broken = true;
+    releaseConnection();
+}
+
 void CallerSession::tick()
 {
+    if (withdrawn_ && transaction_ && !execution_
+        && context_.clock().now() - transaction_->lastActivity
+               > context_.view().transactionIdleTimeout) {
+        endTransaction();
+        channel_.close();
+        return;
+    }
     if (!transaction_ || execution_ || transactionFailed_)
         return;
     const TimePoint now = context_.clock().now();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -24,17 +24,30 @@
     virtual void terminate() = 0;
 };
 
+/// What the START of a session has shown of its caller.
+struct SessionCredentials
+{
+    std::optional<CustomerName> customer; ///< nullopt if the route or the deployment needs no key
+    std::string key; ///< of the customer; a secret
+};
+
 /// One session of a caller: its variables, prepared statements and open transaction. Runs one
 /// statement at a time. Retries a statement only if it was not executed or only reads.
 class CallerSession final : public ConnectionUser
 {
 public:
-    CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route);
+    CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route,
+                  SessionCredentials credentials = {});
     ~CallerSession() override;
 
     void handleStatement(SessionStatement statement);
     /// Resumes a statement that waits for an endpoint or for the permission to use the primary.
     void handleViewChanged();
+    /// Ends the session if the view no longer entitles it: its key is withdrawn or belongs to
+    /// another customer, or its route now needs a key. A running statement is finished first, an
+    /// open transaction is rolled back and its next statement answered with Aborted. Returns
+    /// whether the session has lost its entitlement with this call.
+    bool checkEntitlement();
     /// Aborts a transaction that exceeds the idle timeout.
     void tick();
     /// Closes the session after its next statement outside a transaction.
@@ -118,17 +131,22 @@
     void discardConnection();
     void stopTimers();
     void startNextStatement();
+    bool isEntitled() const;
+    void endWithdrawnSession();
     SessionPhase phase() const;
     bool mayHaveWritten() const;
 
     GatewayContext &context_;
     CallerChannel &channel_;
     DatabaseRoute route_;
+    std::optional<CustomerName> customer_; ///< set for a session of a customer
+    std::string key_; ///< of the customer; a secret
     SessionVariables variables_;
     std::map<std::string, PreparedStatement> prepared_;
     std::optional<Transaction> transaction_;
     bool transactionFailed_ = false; ///< until the caller ends it by a commit or rollback
     bool draining_ = false;
+    bool withdrawn_ = false; ///< no longer entitled; runs no further statement
     bool abortRequested_ = false; ///< abortTransactionAndClose() was called
     std::optional<Execution> execution_;
     PooledConnection *connection_ = nullptr;
--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -131,7 +131,7 @@
     const TimePoint now = context_.clock().now();
     const EndpointRequirements requirements{
         route_, transaction_ ? transaction_->startedAt : execution_->startedAt, lastCommit_,
-        execution_->excluded};
+        execution_->excluded, customer_};
     const auto choice = needsPrimary() ? choosePrimary(context_, requirements)
                                        : chooseForRead(context_, requirements);
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - execution_->startedAt);
@@ -139,7 +139,7 @@
         waitForEndpoint();
     else if (needsPrimary() && isUnresponsive(*choice, now))
         failStatement(ReplyCode::Busy, "the primary is out of reach of this daemon");
-    else if (exceedsTargetLatency(*choice, route_, elapsed))
+    else if (exceedsTargetLatency(*choice, route_, customer_, elapsed))
         failStatement(ReplyCode::Busy, "the endpoint has too much work to meet the target latency");
     else
         acquireConnection(*choice);
@@ -152,7 +152,8 @@
     execution_->requestId = choice.pool->acquire(*this, {.variables = variables_,
                                                          .priority = route_.priority,
                                                          .deadline = execution_->endpointDeadline,
-                                                         .movable = !needsPrimary()});
+                                                         .movable = !needsPrimary(),
+                                                         .customer = customer_});
 }
 
 void CallerSession::waitForEndpoint()
--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -28,12 +28,17 @@
 // Time without any answer to a first handshake after which statements that another endpoint can run
 // are moved there; a handshake between regions takes about 50 ms.
 constexpr Milliseconds moveTimeout{250};
+// Wait of a customer without any connection after which one of another customer is closed for it at
+// the end of its use. About four handshakes of 12 ms, and a small part of the target latencies.
+constexpr Milliseconds yieldTimeout{50};
 
 } // namespace
 
-PooledConnection::PooledConnection(ConnectionPool &pool, std::uint64_t id)
+PooledConnection::PooledConnection(ConnectionPool &pool, std::uint64_t id,
+                                   std::optional<CustomerName> customer)
     : pool_(pool)
     , id_(id)
+    , customer_(std::move(customer))
 {
 }
 
@@ -83,7 +88,8 @@
 {
     const RequestId requestId = ++lastRequestId_;
     waiters_.emplace(WaiterKey{request.priority, request.deadline, requestId},
-                     Waiter{requestId, &user, std::move(request.variables), request.movable});
+                     Waiter{requestId, &user, std::move(request.variables), request.movable,
+                            std::move(request.customer), request.anyCustomer, clock_.now()});
     // Asynchronous: the caller stores the request id before it gets the connection.
     postServeWaiters();
     return requestId;
@@ -94,14 +100,16 @@
     std::erase_if(waiters_, [&](const auto &entry) { return entry.second.requestId == requestId; });
 }
 
-PooledConnection *ConnectionPool::findIdle(const SessionVariables &variables)
+PooledConnection *ConnectionPool::findIdle(const Waiter &waiter)
 {
     PooledConnection *best = nullptr;
     std::size_t bestChanges = 0;
     for (const auto &[id, connection] : connections_) {
-        if (connection->state_ != PooledConnection::State::Idle)
+        if (connection->state_ != PooledConnection::State::Idle
+            || !(waiter.anyCustomer || connection->customer_ == waiter.customer))
             continue;
-        const std::size_t changes = countVariableChanges(connection->sessionState, variables);
+        const std::size_t changes =
+            countVariableChanges(connection->sessionState, waiter.variables);
         if (!best || changes < bestChanges
             || (changes == bestChanges && connection->idleSince_ > best->idleSince_)) {
             best = connection.get();
@@ -121,12 +129,16 @@
 
 void ConnectionPool::serveWaiters()
 {
-    while (!waiters_.empty()) {
-        PooledConnection *connection = findIdle(waiters_.begin()->second.variables);
-        if (!connection)
-            break;
-        const Waiter waiter = std::move(waiters_.extract(waiters_.begin()).mapped());
+    auto next = waiters_.begin();
+    while (next != waiters_.end() && countInState(PooledConnection::State::Idle) > 0) {
+        PooledConnection *connection = findIdle(next->second);
+        if (!connection) {
+            ++next;
+            continue;
+        }
+        const Waiter waiter = std::move(waiters_.extract(next).mapped());
         grant(*connection, *waiter.user);
+        next = waiters_.begin(); // the user may have changed the queue
     }
     openConnections();
 }
@@ -143,15 +155,87 @@
     // An endpoint with too many connections gives some back soon, so the waiters stay.
     if (now < dialBlockedUntil())
         return;
-    std::size_t opening = countInState(PooledConnection::State::Opening);
-    while (opening < waiters_.size() && connections_.size() < budget_.limit(now)) {
-        const std::uint64_t id = ++lastConnectionId_;
-        auto &connection =
-            connections_.emplace(id, std::make_unique<PooledConnection>(*this, id)).first->second;
-        connection->lastSend_ = clock_.now();
-        connection->connection_ = dialer_.dial(service_, endpoint_, *connection);
-        ++opening;
+    const std::size_t limit = budget_.limit(now);
+    const std::size_t free = limit - std::min(limit, connections_.size());
+    for (const auto &customer :
+         customersWithoutConnection(free + countInState(PooledConnection::State::Idle))) {
+        if (makeRoom(customer, limit))
+            open(customer);
+    }
+}
+
+// Customers of the first waiters for whom no connection is being opened, one entry for each waiter.
+std::vector<std::optional<CustomerName>>
+ConnectionPool::customersWithoutConnection(std::size_t max) const
+{
+    std::map<std::optional<CustomerName>, std::size_t> opening;
+    for (const auto &[id, connection] : connections_) {
+        if (connection->state_ == PooledConnection::State::Opening)
+            ++opening[connection->customer_];
+    }
+    std::vector<std::optional<CustomerName>> customers;
+    for (const auto &[key, waiter] : waiters_) {
+        if (customers.size() >= max)
+            break;
+        if (auto &count = opening[waiter.customer]; count > 0)
+            --count;
+        else
+            customers.push_back(waiter.customer);
+    }
+    return customers;
+}
+
+void ConnectionPool::open(const std::optional<CustomerName> &customer)
+{
+    const std::uint64_t id = ++lastConnectionId_;
+    auto &connection =
+        connections_.emplace(id, std::make_unique<PooledConnection>(*this, id, customer))
+            .first->second;
+    connection->lastSend_ = clock_.now();
+    connection->connection_ = dialer_.dial(service_, endpoint_, customer, *connection);
+}
+
+// Makes room for one more connection by closing those of other customers that have been idle
+// longest. Closes none if that would not make room.
+bool ConnectionPool::makeRoom(const std::optional<CustomerName> &customer, std::size_t limit)
+{
+    if (connections_.size() < limit)
+        return true;
+    std::vector<const PooledConnection *> idle;
+    for (const auto &[id, connection] : connections_) {
+        if (connection->state_ == PooledConnection::State::Idle
+            && connection->customer_ != customer)
+            idle.push_back(connection.get());
     }
+    const std::size_t needed = connections_.size() + 1 - limit;
+    if (needed > idle.size())
+        return false;
+    std::stable_sort(idle.begin(), idle.end(), [](const auto *left, const auto *right) {
+        return left->idleSince_ < right->idleSince_;
+    });
+    for (std::size_t i = 0; i < needed; ++i)
+        removeConnection(idle.at(i)->id_);
+    return true;
+}
+
+// Whether a request of a customer without any connection has waited so long that this one, which is
+// free now, is to be closed for it.
+bool ConnectionPool::mustYield(const PooledConnection &connection) const
+{
+    const TimePoint now = clock_.now();
+    if (connections_.size() < budget_.limit(now) || now < dialBlockedUntil())
+        return false;
+    return std::any_of(waiters_.begin(), waiters_.end(), [&](const auto &entry) {
+        const Waiter &waiter = entry.second;
+        return !waiter.anyCustomer && waiter.customer != connection.customer_
+               && now - waiter.since >= yieldTimeout && !hasConnectionOf(waiter.customer);
+    });
+}
+
+bool ConnectionPool::hasConnectionOf(const std::optional<CustomerName> &customer) const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [&](const auto &entry) { return entry.second->customer_ == customer; });
 }
 
 std::size_t ConnectionPool::countInState(PooledConnection::State state) const
@@ -208,6 +292,10 @@
         discard(connection);
         return;
     }
+    if (mustYield(connection)) {
+        discard(connection);
+        return;
+    }
     connection.state_ = PooledConnection::State::Idle;
     connection.idleSince_ = clock_.now();
     if (!waiters_.empty())
@@ -399,8 +487,16 @@
     }
 }
 
-Milliseconds ConnectionPool::expectedWait(unsigned priority) const
+Milliseconds ConnectionPool::expectedWait(unsigned priority,
+                                          const std::optional<CustomerName> &customer) const
 {
+    const bool hasIdle =
+        customer && std::any_of(connections_.begin(), connections_.end(), [&](const auto &entry) {
+            return entry.second->state_ == PooledConnection::State::Idle
+                   && entry.second->customer_ == customer;
+        });
+    if (hasIdle)
+        return Milliseconds(0);
     const auto ahead = std::count_if(waiters_.begin(), waiters_.end(), [&](const auto &entry) {
         return std::get<unsigned>(entry.first) <= priority;
     });
@@ -417,7 +513,7 @@
     return !failingSince_ && (hasEstablishedConnection() || clock_.now() >= dialBlockedUntil_);
 }
 
-ConnectionPoolHealth ConnectionPool::health() const
+ConnectionPoolHealth ConnectionPool::health(const std::optional<CustomerName> &customer) const
 {
     ConnectionPoolHealth health;
     health.lastReply = lastReply_;
@@ -427,7 +523,12 @@
     health.open = connections_.size();
     health.waiting = waiters_.size();
     health.limit = budget_.share();
-    if (!hasEstablishedConnection()) {
+    const bool established =
+        std::any_of(connections_.begin(), connections_.end(), [&](const auto &entry) {
+            return entry.second->state_ != PooledConnection::State::Opening
+                   && entry.second->customer_ == customer;
+        });
+    if (!established) {
         const auto pause =
             std::chrono::ceil<Milliseconds>(budget_.dialBlockedUntil() - clock_.now());
         health.connectDelay = std::max(pause, Milliseconds(0))
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -41,14 +41,15 @@
     std::size_t inUse = 0;
     std::size_t waiting = 0;
     std::size_t limit = 0; ///< connections in this daemon's share
-    Milliseconds connectDelay{0}; ///< expected time to open the first one; 0 if one is open
+    Milliseconds connectDelay{0}; ///< expected time to open the customer's first; 0 if one is open
 };
 
-/// One connection of a pool. At most one user has it at a time.
+/// One connection of a pool, opened for the sessions of one customer or for those without one. At
+/// most one user has it at a time.
 class PooledConnection final : public EndpointConnectionListener
 {
 public:
-    PooledConnection(ConnectionPool &pool, std::uint64_t id);
+    PooledConnection(ConnectionPool &pool, std::uint64_t id, std::optional<CustomerName> customer);
     ~PooledConnection() override;
 
     void send(const SessionStatement &statement);
@@ -67,6 +68,7 @@
 
     ConnectionPool &pool_;
     std::uint64_t id_;
+    std::optional<CustomerName> customer_;
     std::unique_ptr<EndpointConnection> connection_;
     State state_ = State::Opening;
     ConnectionUser *user_ = nullptr;
@@ -80,6 +82,14 @@
 
 /// Connections of this daemon to one endpoint. While all are in use, requests for a connection are
 /// queued by priority and then by deadline.
+///
+/// Load patterns that it answers, where connections serve one customer each:
+/// - The connections of a small share are idle and belong to customers that send nothing now. The
+///   one that has been idle longest is closed for a request of another customer.
+/// - Requests of many customers wait for new connections. A request whose customer has an idle
+///   connection is served before them.
+/// - One customer uses the whole share all the time. A connection is closed after its use if a
+///   request of a customer without any has waited for a while.
 class ConnectionPool
 {
 public:
@@ -104,6 +114,8 @@
         unsigned priority = 0; ///< 0 is the highest
         TimePoint deadline;
         bool movable = false; ///< another endpoint may run it; refused early if this one is silent
+        std::optional<CustomerName> customer; ///< whose connection is needed
+        bool anyCustomer = false; ///< any open connection will do, as for status queries
     };
     /// Requests a connection. The user is called later, once, with the connection or the refusal;
     /// the request id is invalid from then on.
@@ -120,12 +132,13 @@
     /// Refuses all waiting users and closes all connections.
     void shutDown(ConnectionFailure failure);
 
-    /// Expected wait for a connection, from the queue length and the mean time of use.
-    Milliseconds expectedWait(unsigned priority) const;
+    /// Expected wait for a connection, from the queue length and the mean time of use. None if the
+    /// customer has an idle connection.
+    Milliseconds expectedWait(unsigned priority, const std::optional<CustomerName> &customer) const;
     /// False while the endpoint is failing, or while no connection is open and connecting backs
     /// off.
     bool usable() const;
-    ConnectionPoolHealth health() const;
+    ConnectionPoolHealth health(const std::optional<CustomerName> &customer = {}) const;
 
 private:
     friend class PooledConnection;
@@ -136,16 +149,24 @@
         ConnectionUser *user = nullptr;
         SessionVariables variables;
         bool movable = false;
+        std::optional<CustomerName> customer;
+        bool anyCustomer = false;
+        TimePoint since; ///< when the connection was requested
     };
     using WaiterKey = std::tuple<unsigned, TimePoint, RequestId>;
 
     void openConnections();
+    std::vector<std::optional<CustomerName>> customersWithoutConnection(std::size_t max) const;
+    void open(const std::optional<CustomerName> &customer);
+    bool makeRoom(const std::optional<CustomerName> &customer, std::size_t limit);
+    bool mustYield(const PooledConnection &connection) const;
     bool hasEstablishedConnection() const;
+    bool hasConnectionOf(const std::optional<CustomerName> &customer) const;
     std::size_t countInState(PooledConnection::State state) const;
     void moveWaitersOfSilentEndpoint();
     void serveWaiters();
     void postServeWaiters(); ///< posts serveWaiters() to the event loop
-    PooledConnection *findIdle(const SessionVariables &variables);
+    PooledConnection *findIdle(const Waiter &waiter);
     void grant(PooledConnection &connection, ConnectionUser &user);
     void refuseWaiters(ConnectionFailure failure);
     void removeConnection(std::uint64_t id);
--- a/src/gateway/endpoint_choice.cpp
+++ b/src/gateway/endpoint_choice.cpp
@@ -40,7 +40,8 @@
                                     const RequiredPosition &required)
 {
     const ConnectionPool *pool = context.findPool(requirements.route.service, endpoint.id);
-    const ConnectionPoolHealth health = pool ? pool->health() : ConnectionPoolHealth{};
+    const ConnectionPoolHealth health =
+        pool ? pool->health(requirements.customer) : ConnectionPoolHealth{};
     EndpointCandidate candidate;
     candidate.primary = service.primary == endpoint.id;
     candidate.usable = pool && pool->usable() && !endpoint.draining
@@ -118,9 +119,9 @@
 // Under overload a statement that misses its target anyway only delays others. It is refused at
 // once, so that its caller can retry.
 bool exceedsTargetLatency(const EndpointChoice &choice, const DatabaseRoute &route,
-                          Milliseconds elapsed)
+                          const std::optional<CustomerName> &customer, Milliseconds elapsed)
 {
-    const Milliseconds wait = choice.pool->expectedWait(route.priority);
+    const Milliseconds wait = choice.pool->expectedWait(route.priority, customer);
     return wait > Milliseconds(0)
            && elapsed + wait + choice.pool->health().latency > route.targetLatency * 3 / 4;
 }
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -24,6 +24,7 @@
     TimePoint startedAt; ///< start of the transaction, or of a statement outside of one
     const std::optional<LastCommit> &lastCommit;
     const std::set<EndpointId> &excluded; ///< endpoints that refused the statement
+    const std::optional<CustomerName> &customer; ///< of the session
 };
 
 /// Endpoint chosen to run a statement.
@@ -52,7 +53,7 @@
 /// Whether the expected wait for a connection makes the statement exceed three quarters of its
 /// target latency.
 bool exceedsTargetLatency(const EndpointChoice &choice, const DatabaseRoute &route,
-                          Milliseconds elapsed);
+                          const std::optional<CustomerName> &customer, Milliseconds elapsed);
 
 } // namespace pistachiowood
 
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -43,8 +43,10 @@
 {
 public:
     virtual ~EndpointDialer() = default;
+    /// The endpoint is told the customer; nullopt for sessions without one.
     virtual std::unique_ptr<EndpointConnection> dial(const ServiceName &service,
                                                      const EndpointView &endpoint,
+                                                     const std::optional<CustomerName> &customer,
                                                      EndpointConnectionListener &listener) = 0;
     /// Decodes the reply to a Status or Demote statement; nullopt if it is invalid.
     virtual std::optional<ReplicationStatus> decodeStatus(const StatementReply &reply) = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,8 +46,9 @@
     {
         pool_ = &pool;
         timer_ = gateway_.loop_.startTimer(timeout, [this] { finish(std::nullopt); });
-        requestId_ = pool.acquire(
-            *this, {.priority = probePriority, .deadline = gateway_.clock_.now() + timeout});
+        requestId_ = pool.acquire(*this, {.priority = probePriority,
+                                          .deadline = gateway_.clock_.now() + timeout,
+                                          .anyCustomer = true});
     }
 
     void handleConnectionGranted(PooledConnection &connection) override
@@ -133,6 +134,7 @@
     }
     std::erase_if(services_,
                   [&](const auto &entry) { return view_->services.count(entry.first) == 0; });
+    endSessionsNotEntitled();
     resumeSessions();
 }
 
@@ -197,6 +199,15 @@
     forEachSession([](CallerSession &session) { session.handleViewChanged(); });
 }
 
+void Gateway::endSessionsNotEntitled()
+{
+    std::size_t ended = 0;
+    forEachSession([&](CallerSession &session) { ended += session.checkEntitlement() ? 1 : 0; });
+    if (ended > 0)
+        logEvent(Event::SessionsWithdrawn,
+                 {{"version", view_->configurationVersion}, {"sessions", ended}});
+}
+
 const ServiceView *Gateway::findService(const ServiceName &service) const
 {
     const auto found = view_->services.find(service);
@@ -283,21 +294,37 @@
     return step != PositionWait::Step::Proceed;
 }
 
-std::optional<Gateway::SessionId> Gateway::openSession(const std::string &database,
-                                                       CallerChannel &channel)
+Gateway::SessionOutcome Gateway::openSession(const SessionRequest &request, CallerChannel &channel)
 {
-    const auto route = view_->routes.find(database);
+    const auto route = view_->routes.find(request.database);
     if (route == view_->routes.end())
-        return std::nullopt;
+        return refuseSession(SessionRefusals::Reason::NoDatabase);
+    SessionCredentials credentials;
+    if (view_->customers && !route->second.isPublic) {
+        credentials = {view_->customers->findByKey(request.key), request.key};
+        if (!credentials.customer)
+            return refuseSession(request.key.empty() ? SessionRefusals::Reason::NoKey
+                                                     : SessionRefusals::Reason::UnknownKey);
+    }
     const SessionId id = ++lastSession_;
     GatewayContext &context = *this;
-    auto session = std::make_unique<CallerSession>(context, channel, route->second);
+    auto session =
+        std::make_unique<CallerSession>(context, channel, route->second, std::move(credentials));
     if (draining_)
         session->closeWhenIdle();
     sessions_.emplace(id, std::move(session));
     return id;
 }
 
+// Logs no text of the caller: the database that it names may be its key.
+SessionRefusal Gateway::refuseSession(SessionRefusals::Reason reason)
+{
+    if (refusals_.record(reason, clock_.now()))
+        logEvent(Event::SessionRefused, {{"reason", SessionRefusals::describe(reason)},
+                                         {"version", view_->configurationVersion}});
+    return SessionRefusals::answerTo(reason);
+}
+
 void Gateway::handleStatement(SessionId session, SessionStatement statement)
 {
     if (const auto found = sessions_.find(session); found != sessions_.end()) {
@@ -342,8 +369,11 @@
     }
     for (const auto &[id, session] : sessions_)
         session->tick();
-    if (++ticks_ % ticksPerPoolLog == 0 && isLogged(Event::PoolState))
-        logPools();
+    if (++ticks_ % ticksPerPoolLog == 0) {
+        refusals_.logCounts();
+        if (isLogged(Event::PoolState))
+            logPools();
+    }
     if (reachabilityHandler_)
         reachabilityHandler_(std::move(primaries));
     loop_.startTimer(tickInterval, [this, alive = alive_] {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,11 +4,13 @@
 #include "gateway/caller_session.h"
 #include "gateway/gateway_context.h"
 #include "gateway/position_wait.h"
+#include "gateway/session_refusals.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace pistachiowood {
@@ -24,6 +26,13 @@
     std::optional<PositionHistory::Sample> newestPosition;
 };
 
+/// What a caller asks for when it starts a session.
+struct SessionRequest
+{
+    std::string database;
+    std::string key; ///< a secret; empty if the caller sent none
+};
+
 /// Sessions of callers and pooled connections to endpoints of one traffic thread. All functions
 /// must be called in the thread of the event loop.
 class Gateway final : private GatewayContext
@@ -32,6 +41,7 @@
     using StatusCallback = std::function<void(std::optional<ReplicationStatus>)>;
     using ReachabilityHandler = std::function<void(std::vector<PrimaryReachability>)>;
     using SessionId = std::uint64_t;
+    using SessionOutcome = std::variant<SessionId, SessionRefusal>;
 
     Gateway(EventLoop &loop, const Clock &clock, RandomSource &random, EndpointDialer &dialer);
     ~Gateway() override;
@@ -53,8 +63,9 @@
 
     /// True once a configuration is known. Before that no database may be refused as unknown.
     bool configured() const { return view_->configurationVersion != 0; }
-    /// Opens a session with a database; nullopt if the database has no route.
-    std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
+    /// Opens a session with a database. Refused if the database has no route, or if its route needs
+    /// a key and the caller's belongs to no customer.
+    SessionOutcome openSession(const SessionRequest &request, CallerChannel &channel);
     void handleStatement(SessionId session, SessionStatement statement);
     void closeSession(SessionId session);
 
@@ -98,6 +109,8 @@
                         TimePoint requestedAt, TermPosition position);
     void forEachSession(const std::function<void(CallerSession &)> &function);
     void resumeSessions();
+    void endSessionsNotEntitled();
+    SessionRefusal refuseSession(SessionRefusals::Reason reason);
     void tick();
     void logPools() const;
     void probeEndpoints(const ServiceView &service, ServiceState &state);
@@ -117,6 +130,7 @@
     std::map<EndpointId, TimePoint> lastProbe_;
     SessionId lastSession_ = 0;
     std::uint64_t lastQuery_ = 0;
+    SessionRefusals refusals_;
     bool draining_ = false;
     bool probing_ = true;
     unsigned ticks_ = 0;
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -54,9 +54,11 @@
     }
 
     std::unique_ptr<EndpointConnection> dial(const ServiceName &, const EndpointView &endpoint,
+                                             const std::optional<CustomerName> &customer,
                                              EndpointConnectionListener &listener) override
     {
         ++dials;
+        customers.push_back(customer ? customer->value() : "");
         auto connection = std::make_unique<Connection>(*this, endpoint.id, listener, dials);
         open_.insert(connection.get());
         loop_.post([this, raw = connection.get(), id = endpoint.id] {
@@ -94,6 +96,7 @@
     std::map<EndpointId, std::uint64_t> positions;
     std::vector<Sent> sent;
     std::size_t dials = 0;
+    std::vector<std::string> customers; ///< of each dial; empty for none
 
     /// Number of statements of this kind that the endpoints received.
     std::size_t countSent(Verb verb) const
@@ -172,6 +175,13 @@
     bool closed = false;
 };
 
+/// Opens a session; the caller's test fails with an exception if it is refused.
+inline Gateway::SessionId openSession(Gateway &gateway, const std::string &database,
+                                      CallerChannel &channel, const std::string &key = {})
+{
+    return std::get<Gateway::SessionId>(gateway.openSession({database, key}, channel));
+}
+
 } // namespace pistachiowood
 
 #endif
--- a/src/gateway/gateway_test.cpp
+++ b/src/gateway/gateway_test.cpp
@@ -53,7 +53,7 @@
     {
         gateway->setView(makeView(1, primary));
         gateway->permitPrimaries(clock.now() + 2s);
-        session = *gateway->openSession(database, channel);
+        session = openSession(*gateway, database, channel);
     }
 
     void openBeforePermission()
@@ -61,7 +61,7 @@
         auto view = makeView(1, primary);
         view->configurationVersion = 1;
         gateway->setView(view);
-        session = *gateway->openSession("strict", channel);
+        session = openSession(*gateway, "strict", channel);
     }
 
     // Runs the event loop for this real time. The manual clock of the gateway does not advance.
@@ -92,7 +92,7 @@
     void reportPrimaryPosition()
     {
         RecordingChannel other;
-        const auto reader = *gateway->openSession("strict", other);
+        const auto reader = openSession(*gateway, "strict", other);
         gateway->handleStatement(reader, makeStatement(Verb::Read));
         runLoopFor();
         gateway->closeSession(reader);
@@ -271,7 +271,7 @@
     gateway->closeSession(session);
     runLoopFor();
     LONGS_EQUAL(1, endpoints.countSent(Verb::Rollback));
-    session = *gateway->openSession("strict", channel);
+    session = openSession(*gateway, "strict", channel);
     CHECK_TRUE(execute(makeStatement(Verb::Read)).succeeded());
     LONGS_EQUAL(1, endpoints.dials);
 }
@@ -283,7 +283,7 @@
     execute({.id = "s", .verb = Verb::Set, .name = "tz", .arguments = "utc"});
     execute(makeStatement(Verb::Read));
     LONGS_EQUAL(1, endpoints.countSent(Verb::Set));
-    session = *gateway->openSession("strict", channel);
+    session = openSession(*gateway, "strict", channel);
     execute(makeStatement(Verb::Read));
     LONGS_EQUAL(1, endpoints.countSent(Verb::Reset));
 }
@@ -367,7 +367,7 @@
     std::vector<Gateway::SessionId> sessions;
     sessions.reserve(channels.size());
     for (auto &other : channels)
-        sessions.push_back(*gateway->openSession("strict", other));
+        sessions.push_back(openSession(*gateway, "strict", other));
     endpoints.silent.insert(primary); // each statement that is sent keeps its connection
     for (std::size_t round = 0; round < 2; ++round) {
         for (const auto id : sessions)
@@ -388,7 +388,7 @@
     execute(makeStatement(Verb::Begin));
     execute(makeStatement(Verb::Write));
     RecordingChannel idle;
-    CHECK_TRUE(gateway->openSession("strict", idle).has_value());
+    openSession(*gateway, "strict", idle);
     gateway->startDrain();
     CHECK_TRUE(idle.closed);
     CHECK_FALSE(channel.closed);
@@ -405,7 +405,8 @@
     view->routes.erase("strict");
     gateway->setView(view);
     CHECK_TRUE(execute(makeStatement(Verb::Read)).failure == ReplyCode::NoDatabase);
-    CHECK_FALSE(gateway->openSession("strict", channel).has_value());
+    const auto outcome = gateway->openSession({"strict", {}}, channel);
+    CHECK_TRUE(std::get<SessionRefusal>(outcome).code == ReplyCode::NoDatabase);
 }
 
 // Guards against accepting a commit or rollback without an open transaction.
@@ -426,7 +427,7 @@
     gateway->setProbing(false);
     gateway->setView(view);
     gateway->permitPrimaries(clock.now() + 2s);
-    session = *gateway->openSession("strict", channel);
+    session = openSession(*gateway, "strict", channel);
     execute(makeStatement(Verb::Write));
     LONGS_EQUAL(1, endpoints.openConnections());
     clock.advance(400ms);
@@ -458,7 +459,7 @@
     std::vector<Gateway::SessionId> sessions;
     sessions.reserve(channels.size());
     for (auto &other : channels) {
-        sessions.push_back(*gateway->openSession("bounded", other));
+        sessions.push_back(openSession(*gateway, "bounded", other));
         gateway->handleStatement(sessions.back(), makeStatement(Verb::Read));
     }
     runLoopFor(30ms);
@@ -535,7 +536,7 @@
     LONGS_EQUAL(0, repliesAfter(makeStatement(Verb::Write)));
     RecordingChannel waitingChannel;
     endpoints.silentDials.insert(primary);
-    const auto waiting = *gateway->openSession("strict", waitingChannel);
+    const auto waiting = openSession(*gateway, "strict", waitingChannel);
     gateway->handleStatement(waiting, makeStatement(Verb::Write));
     runLoopFor();
     gateway->startDrain();
--- a/src/gateway/operations_page_test.cpp
+++ b/src/gateway/operations_page_test.cpp
@@ -26,9 +26,9 @@
 // Guards against reasons of refusals in the page that the code no longer uses.
 TEST(OperationsPage, reasonsExist)
 {
-    const std::string sources = readSource("src/gateway/caller_work.cpp")
-                                + readSource("src/gateway/caller_session.cpp")
-                                + readSource("platform/listeners.cpp");
+    const std::string sources =
+        readSource("src/gateway/caller_work.cpp") + readSource("src/gateway/caller_session.cpp")
+        + readSource("src/gateway/session_refusals.cpp") + readSource("platform/listeners.cpp");
     std::istringstream lines(page);
     std::string line;
     unsigned reasons = 0;
--- a/tests/property/line_codec_property.cpp
+++ b/tests/property/line_codec_property.cpp
@@ -14,6 +14,7 @@
 
 const std::vector<std::string> callerSamples{
     "START orders",
+    "START orders bkf83fgfwrz56aw63is4",
     "QUERY 5c0e READ 1a4",
     "QUERY 5c0e WRITE 1a4 some  data ",
     "QUERY 5c0e BEGIN",
@@ -67,6 +68,22 @@
     });
 }
 
+// Guards against a key that is part of a line to an endpoint, or is read as something else.
+bool keysStayOutOfTheLinesToEndpoints()
+{
+    return rc::check("keys stay out of the lines to endpoints", [] {
+        const auto key =
+            *rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::inRange<char>('0', '9')));
+        const CallerMessage start = decodeCallerMessage("START orders " + key);
+        RC_ASSERT(start.kind == CallerMessage::Kind::Start);
+        RC_ASSERT(start.key == key);
+        std::string sent =
+            encodeStart(ServiceName(start.database), CustomerName("miny"), EndpointId("i-x"));
+        sent += encodeStatement(start.statement);
+        RC_ASSERT(sent.find(key) == std::string::npos);
+    });
+}
+
 // Guards against a reply that changes on its way to the caller.
 bool repliesAreRelayedUnchanged()
 {
@@ -132,6 +149,7 @@
     disableLogging();
     bool passed = linesAreIndependentOfSplits();
     passed = acceptedStatementsArePassedOnUnchanged() && passed;
+    passed = keysStayOutOfTheLinesToEndpoints() && passed;
     passed = repliesAreRelayedUnchanged() && passed;
     passed = decoderSurvivesAlteredLines() && passed;
     passed = rowsWithoutAnEndAreInvalid() && passed;
