Check the reply of the statement, not an earlier one, in tests of customers

With only the first waiter served, idleConnectionServesItsCustomerBeforeOthers ThatWait still passed, because the reply to an earlier read was looked at.

--- a/src/gateway/customer_sessions_test.cpp
+++ b/src/gateway/customer_sessions_test.cpp
@@ -75,6 +75,7 @@
 
     StatementReply execute(const SessionStatement &statement)
     {
+        channel.replies.clear(); // an earlier reply must not pass for this one
         gateway.handleStatement(session, statement);
         runLoopFor();
         CHECK_FALSE(channel.replies.empty());
