Do not publish the old primary after a promotion was ordered

Cause: an accepted promotion was forgotten when its endpoint went away before it was seen as primary. The next survey, 4 s later, found the old primary leading in the newest term that answered and published it, while the promoted endpoint could lead at any time. A daemon that took over another one's announcement did not know of its promotion either.

Change: the decision knows the newest term in force when a promotion was ordered, and publishes only an endpoint of a newer term. A daemon that continues an announcement of another daemon or of a former run, or sees by the fencing token that another one held the lease since the announcement, assumes that a promotion was ordered. An old primary that still leads is then demoted and may be promoted; a demotion without an answer is repeated after 3 s. The number of a demotion no longer hides an endpoint that leads: a term counts if an endpoint leads in it, has entries of it, or was not demoted.

Test: PrimaryReplacement.oldPrimaryIsPublishedAfterAPromotionWasOrdered fails when the rule is off in choosePrimary() and passes with it, for this daemon's order and for one that may be of another daemon. Groups PrimaryChoice, PrimaryReplacement and ReplacementExploration pass.

--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -27,7 +27,10 @@
         : evidence_(evidence)
     {
         for (const auto &[id, status] : evidence.statuses) {
-            newestTerm_ = std::max(newestTerm_, status.term);
+            highestTerm_ = std::max(highestTerm_, status.term);
+            // A former primary that stepped down has the number of its demotion.
+            if (status.primary || id != evidence.formerPrimary)
+                newestTerm_ = std::max(newestTerm_, status.term);
             holderAnswered_ = holderAnswered_ || holdsNewestTerm(status, evidence.newest);
         }
         // A log that ends in an older term may hold commits that the newest one left out.
@@ -44,7 +47,7 @@
         const ReplicationStatus *former = statusOf(evidence_.formerPrimary);
         if (former && former->primary && !evidence_.demotionTried)
             return {PrimaryChoice::Action::Demote, evidence_.formerPrimary,
-                    Term(newestTerm_.value() + 1)};
+                    Term(highestTerm_.value() + 1)};
         const ReplacementCandidate *best = findLongestLog();
         if (const ChoiceWait wait = reasonToWait(best); wait != ChoiceWait::None)
             return {.wait = wait};
@@ -81,8 +84,11 @@
     bool mayBePublished(const EndpointId &id, const ReplicationStatus &status) const
     {
         // Another endpoint has been in force since; its commits may be missing from this log.
-        if (evidence_.newest && status.term < evidence_.newest->term)
+        if (evidence_.newest && status.term < evidence_.newest->term
+            && id != evidence_.promotedOlderTerm)
             return false;
+        if (evidence_.orderedAfter)
+            return status.term > *evidence_.orderedAfter;
         // It may have restarted with its whole log.
         if (id == evidence_.formerPrimary)
             return !formerPrimaryDrains() && !formerLogIsLost();
@@ -215,6 +221,7 @@
     }
 
     const PrimaryEvidence &evidence_;
+    Term highestTerm_; ///< of all answers, demotions included
     Term newestTerm_;
     bool holderAnswered_ = false;
     TermPosition longestLog_; ///< of the holders of the newest term, if any answered
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -39,6 +39,11 @@
     /// Time since the replacement first lacked an answer of an endpoint that holds the newest term,
     /// over all attempts.
     Milliseconds holderMissing{0};
+    /// Newest term in force when a promotion was ordered, or may have been by another daemon. It
+    /// may take effect at any time, so only an endpoint that leads in a newer term is published.
+    std::optional<Term> orderedAfter;
+    /// Endpoint that was promoted although its log is of an older term than `newest`.
+    std::optional<EndpointId> promotedOlderTerm;
     bool demotionTried = false; ///< the former primary has been asked to step down
     /// Endpoints whose log may be gone, and the position up to which they may have held commits;
     /// nullopt if that is unknown.
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -35,6 +35,9 @@
 // After this time without an effect, another replica may be chosen; the platform promotes within
 // a few hundred milliseconds.
 constexpr Milliseconds promotionEffectTimeout{4000};
+// After this time, a demotion without an answer is repeated: an old primary that can be neither
+// published nor promoted would leave the service without one. Longer than the wait for replicas.
+constexpr Milliseconds demotionRetryDelay{3000};
 // After this time, an endpoint that the platform could not promote is tried again.
 constexpr Milliseconds refusalRetryDelay{1000};
 
@@ -44,6 +47,13 @@
            && input.now - *input.primaryFailingSince >= primaryFailureTimeout;
 }
 
+// Newest term that an endpoint with that status proves to have begun. The term of a replica may be
+// the number of a demotion.
+Term provenTerm(const ReplicationStatus &status)
+{
+    return status.primary ? status.term : status.received.term;
+}
+
 // Newest term in force once an endpoint with that status is published.
 TermInForce newestAfterPublishing(const ReplicationStatus &status,
                                   const std::optional<TermInForce> &newest)
@@ -86,6 +96,8 @@
         reset(input.now);
         return std::nullopt;
     }
+    if (!notYetAnnounced)
+        notePromotionOfOthers(input);
     switch (stage_) {
     case Stage::Monitoring:
         return monitor(input);
@@ -133,8 +145,10 @@
         reason_ = reason;
         reasonSince_ = input.now;
     }
-    if (!input.record->replacing)
+    if (!input.record->replacing) {
         holderMissingSince_.reset();
+        orderedAfter_.reset();
+    }
     if (reason == Reason::None)
         return std::nullopt;
     const bool present = std::any_of(input.candidates.begin(), input.candidates.end(),
@@ -210,6 +224,7 @@
     demotionTried_ = false;
     refusedUntil_.clear();
     if (input.record->replacing) {
+        notePromotionOfOthers(input);
         announcedAt_ = input.recordSince;
         announcedVersion_ = input.recordVersion;
         enter(Stage::AwaitingAcknowledgements, input.now);
@@ -217,6 +232,7 @@
     }
     if (!input.mayAnnounce)
         return std::nullopt;
+    leaseToken_ = input.leaseToken;
     pending_ = true;
     return AnnounceCommand{{.service = service_,
                             .primary = oldPrimary_,
@@ -272,6 +288,18 @@
     return surveyCandidates(input);
 }
 
+// Another daemon that held the lease since the announcement may have ordered a promotion. The
+// fencing token grows by one when this daemon acquires the lease again.
+void PrimaryReplacement::notePromotionOfOthers(const ReplacementInput &input)
+{
+    if (!input.leaseHeld)
+        return;
+    const bool heldByOther = leaseToken_ != 0 && input.leaseToken > leaseToken_ + 1;
+    leaseToken_ = input.leaseToken;
+    if (input.newest && !orderedAfter_ && (heldByOther || !input.announcedByThisRun))
+        orderedAfter_ = input.newest->term;
+}
+
 void PrimaryReplacement::noteMissingHolder(const ReplacementInput &input)
 {
     const bool answered = std::any_of(statuses_.begin(), statuses_.end(), [&](const auto &entry) {
@@ -334,9 +362,12 @@
         .statuses = statuses_,
         .syncReplicas = input.syncReplicas,
         .waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_),
-        .demotionTried = demotionTried_,
+        .orderedAfter = orderedAfter_,
+        .demotionTried = demotionTried_ && (finalPosition_ || input.now < demotionRetryAt_),
         .lostLogs = input.lostLogs,
         .finalPosition = finalPosition_};
+    if (orderedAfter_ && chosenOlderTerm_)
+        evidence.promotedOlderTerm = chosen_;
     if (holderMissingSince_)
         evidence.holderMissing =
             std::chrono::duration_cast<Milliseconds>(input.now - *holderMissingSince_);
@@ -347,8 +378,12 @@
     return evidence;
 }
 
-std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &)
+std::optional<ReplacementCommand> PrimaryReplacement::promote(const ReplacementInput &input)
 {
+    // If the service is given up to a log of an older term, only the answers tell the terms.
+    termBeforeOrder_ = input.newest && !chosenOlderTerm_ ? input.newest->term : Term();
+    for (const auto &[id, status] : statuses_)
+        termBeforeOrder_ = std::max(termBeforeOrder_, provenTerm(status));
     pending_ = true;
     return PromoteCommand{chosen_, chosenOlderTerm_};
 }
@@ -412,6 +447,7 @@
     }
     announcedAt_ = now;
     announcedVersion_ = *version;
+    orderedAfter_.reset();
     enter(Stage::AwaitingAcknowledgements, now);
 }
 
@@ -430,6 +466,8 @@
     if (status) {
         finalPosition_ = status->received;
         statuses_.clear(); // these positions are older than the end of the old primary's log
+    } else {
+        demotionRetryAt_ = now + demotionRetryDelay;
     }
     surveySince_ = now;
     enter(Stage::Surveying, now);
@@ -438,6 +476,8 @@
 void PrimaryReplacement::handlePromoted(PromotionOutcome outcome, TimePoint now)
 {
     pending_ = false;
+    if (outcome != PromotionOutcome::NotPromotable)
+        orderedAfter_ = std::max(orderedAfter_.value_or(termBeforeOrder_), termBeforeOrder_);
     switch (outcome) {
     case PromotionOutcome::Accepted:
         statuses_.erase(chosen_);
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -30,6 +30,7 @@
     bool mayAnnounce = false; ///< no promise to a peer forbids announcements
     bool leaseHeld = false;
     bool leaseAvailable = false;
+    std::uint64_t leaseToken = 0; ///< fencing token of the lease that is held
     /// Every member has acknowledged the announcement and no longer uses the primary.
     bool allAcknowledged = false;
     bool halfAcknowledged = false; ///< at least half have; the others are no majority
@@ -137,6 +138,7 @@
     bool successorKeepsUp(const ReplacementInput &input);
     std::optional<ReplacementCommand> awaitAcknowledgements(const ReplacementInput &input);
     std::optional<ReplacementCommand> survey(const ReplacementInput &input);
+    void notePromotionOfOthers(const ReplacementInput &input);
     void noteMissingHolder(const ReplacementInput &input);
     std::optional<ReplacementCommand> surveyCandidates(const ReplacementInput &input);
     std::optional<ReplacementCommand> followChoice(const ReplacementInput &input);
@@ -169,6 +171,11 @@
     std::optional<TimePoint> surveySince_;
     std::optional<TermPosition> finalPosition_; ///< end of the demoted primary's log
     bool demotionTried_ = false;
+    TimePoint demotionRetryAt_{}; ///< when a demotion without an answer is repeated
+    /// See PrimaryEvidence; for the announcement in force, over all attempts.
+    std::optional<Term> orderedAfter_;
+    Term termBeforeOrder_; ///< newest term in force when the open promotion was ordered
+    std::uint64_t leaseToken_ = 0; ///< last one of this daemon
     /// Endpoints that the platform could not promote, and when to try them again.
     std::map<EndpointId, TimePoint> refusedUntil_;
     EndpointId chosen_;
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -369,6 +369,37 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().olderTerm);
 }
 
+// Guards against the old primary being published again after an accepted promotion whose endpoint
+// went away before it was seen as primary: it may lead at any time. The order is this daemon's, or
+// may be that of the daemon whose announcement this one has taken over.
+TEST(PrimaryReplacement, oldPrimaryIsPublishedAfterAPromotionWasOrdered)
+{
+    for (const bool takenOver : {false, true}) {
+        replacement = PrimaryReplacement(ServiceName("db"), VmId("vm"));
+        input = {};
+        setup();
+        input.newest = {Term(1), {Term(1), LogPosition(9)}};
+        input.announcedByThisRun = !takenOver;
+        announce();
+        input.candidates.front().draining = false;
+        input.allAcknowledged = true;
+        if (!takenOver) {
+            survey({{first, replicaAt(9)}, {second, replicaAt(8)}});
+            CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+            replacement.handlePromoted(PromotionOutcome::Accepted, input.now);
+            input.now += 5s;
+        }
+        survey({{oldPrimary, primaryAt(9)}, {second, replicaAt(8)}});
+        CHECK_TRUE(nextCommandIs<DemoteCommand>());
+        replacement.handleDemoted({}, input.now); // no answer
+        input.now += 4s;
+        CHECK_FALSE(nextCommandIs<PublishCommand>());
+        replacement.handleSurvey({{first, {true, Term(2), {Term(1), LogPosition(9)}}}}, input.now);
+        const PrimaryRecord record = nextCommand<PublishCommand>().record;
+        CHECK_TRUE(record.primary == first && record.newest->term == Term(2));
+    }
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
--- a/src/takeover/replacement_runner.cpp
+++ b/src/takeover/replacement_runner.cpp
@@ -286,6 +286,7 @@
     const bool recordsFailing = context_.records().failing();
     input.mayAnnounce = peers_.mayAnnounce(now) && !recordsFailing;
     input.leaseHeld = lease_.held(now);
+    input.leaseToken = lease_.fencingToken();
     input.leaseAvailable = !input.leaseHeld && lease_.available(now) && !recordsFailing;
     input.allAcknowledged = peers_.allApplied(state.recordVersion);
     input.halfAcknowledged = peers_.halfApplied(state.recordVersion);
