Publish a promoted endpoint only once its promotion has taken effect

Cause: verify() took any endpoint that reports itself as primary for promoted. One that still led in its former term was published before the promotion took effect, and its commits of that moment could be rolled back.

Change: verify() asks choosePrimary(), which requires a newer term than the newest one in force when the promotion was ordered. An endpoint that led before its promotion was accepted and leads in the same term 4 s later is published: the platform changes nothing for an endpoint that it regards as the primary, for example after all logs of a service are gone.

Test: PrimaryReplacement.endpointIsPublishedBeforeItsPromotionTakesEffect fails with the former condition in verify() and passes now. Groups PrimaryReplacement and PrimaryChoice pass.

--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -83,6 +83,8 @@
 
     bool mayBePublished(const EndpointId &id, const ReplicationStatus &status) const
     {
+        if (evidence_.unchanged.count(id) > 0)
+            return true;
         // Another endpoint has been in force since; its commits may be missing from this log.
         if (evidence_.newest && status.term < evidence_.newest->term
             && id != evidence_.promotedOlderTerm)
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -44,6 +44,9 @@
     std::optional<Term> orderedAfter;
     /// Endpoint that was promoted although its log is of an older term than `newest`.
     std::optional<EndpointId> promotedOlderTerm;
+    /// Endpoints that still lead in the same term long after their promotion was accepted: the
+    /// platform changes nothing for an endpoint that it regards as the primary.
+    std::set<EndpointId> unchanged;
     bool demotionTried = false; ///< the former primary has been asked to step down
     /// Endpoints whose log may be gone, and the position up to which they may have held commits;
     /// nullopt if that is unknown.
--- a/src/takeover/primary_replacement.cpp
+++ b/src/takeover/primary_replacement.cpp
@@ -223,6 +223,7 @@
     finalPosition_.reset();
     demotionTried_ = false;
     refusedUntil_.clear();
+    unchanged_.clear();
     if (input.record->replacing) {
         notePromotionOfOthers(input);
         announcedAt_ = input.recordSince;
@@ -363,6 +364,7 @@
         .syncReplicas = input.syncReplicas,
         .waited = std::chrono::duration_cast<Milliseconds>(input.now - *surveySince_),
         .orderedAfter = orderedAfter_,
+        .unchanged = unchanged_,
         .demotionTried = demotionTried_ && (finalPosition_ || input.now < demotionRetryAt_),
         .lostLogs = input.lostLogs,
         .finalPosition = finalPosition_};
@@ -382,6 +384,10 @@
 {
     // If the service is given up to a log of an older term, only the answers tell the terms.
     termBeforeOrder_ = input.newest && !chosenOlderTerm_ ? input.newest->term : Term();
+    chosenLedIn_.reset();
+    if (const auto found = statuses_.find(chosen_);
+        found != statuses_.end() && found->second.primary)
+        chosenLedIn_ = found->second.term;
     for (const auto &[id, status] : statuses_)
         termBeforeOrder_ = std::max(termBeforeOrder_, provenTerm(status));
     pending_ = true;
@@ -390,12 +396,16 @@
 
 std::optional<ReplacementCommand> PrimaryReplacement::verify(const ReplacementInput &input)
 {
-    if (const auto found = statuses_.find(chosen_);
-        found != statuses_.end() && found->second.primary) {
+    // The chosen endpoint may still lead in its former term, before the promotion takes effect.
+    const PrimaryChoice choice = choosePrimary(collectEvidence(input));
+    if (choice.action == PrimaryChoice::Action::Publish && choice.endpoint == chosen_) {
         enter(Stage::Publishing, input.now);
         return publish(input);
     }
     if (input.now - stageSince_ > promotionEffectTimeout) {
+        if (const auto found = statuses_.find(chosen_);
+            found != statuses_.end() && found->second.primary && chosenLedIn_ == found->second.term)
+            unchanged_.insert(chosen_);
         surveySince_.reset();
         statuses_.clear();
         enter(Stage::Surveying, input.now);
--- a/src/takeover/primary_replacement.h
+++ b/src/takeover/primary_replacement.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -174,6 +175,8 @@
     TimePoint demotionRetryAt_{}; ///< when a demotion without an answer is repeated
     /// See PrimaryEvidence; for the announcement in force, over all attempts.
     std::optional<Term> orderedAfter_;
+    std::optional<Term> chosenLedIn_; ///< term that the chosen endpoint led in before its promotion
+    std::set<EndpointId> unchanged_; ///< see PrimaryEvidence
     Term termBeforeOrder_; ///< newest term in force when the open promotion was ordered
     std::uint64_t leaseToken_ = 0; ///< last one of this daemon
     /// Endpoints that the platform could not promote, and when to try them again.
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -400,6 +400,32 @@
     }
 }
 
+// Guards against an endpoint that is published in its former term, before its promotion has taken
+// effect, and against a service without a primary where the platform changes nothing.
+TEST(PrimaryReplacement, endpointIsPublishedBeforeItsPromotionTakesEffect)
+{
+    input.newest = {Term(2), {Term(2), LogPosition(9)}};
+    input.announcedByThisRun = true;
+    announce();
+    input.allAcknowledged = true;
+    survey({{first, primaryAt(7)}});
+    input.now += 15s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().olderTerm);
+    replacement.handlePromoted(PromotionOutcome::Accepted, input.now);
+    for (int i = 0; i < 30; ++i) {
+        input.now += 100ms;
+        survey({{first, primaryAt(7)}});
+    }
+    PrimaryReplacement changed = replacement;
+    changed.step(input);
+    changed.handleSurvey({{first, {true, Term(3), {Term(1), LogPosition(7)}}}}, input.now);
+    const auto published = changed.step(input);
+    CHECK_TRUE(published && std::holds_alternative<PublishCommand>(*published));
+    input.now += 2s;
+    survey({{first, primaryAt(7)}});
+    CHECK_TRUE(nextCommand<PublishCommand>().record.newest->term == Term(1));
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
