Ask a refused endpoint again before a shorter log is promoted

Cause: with sync_replicas 0, one 409 was enough to promote the next shorter log at once, although the endpoint with the longest log answered the survey. 409 also means that the endpoint is not running at the moment.

Change: without synchronous replicas too, a shorter log waits up to 3 s for an endpoint that answers, holds a longer log and was refused, which is asked once a second. An endpoint that no longer answers is not waited for.

--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -15,6 +15,9 @@
 // of milliseconds behind, and a draining endpoint keeps running for seconds.
 constexpr Milliseconds catchUpTimeout{2000};
 
+// How long the promotion of a shorter log waits for an endpoint that the platform refused to
+// promote, also without synchronous replicas. It is asked once a second.
+constexpr Milliseconds refusedLogTimeout{3000};
 // How long a log of an older term waits for a holder of the newest one, whose commits its promotion
 // would undo, while it brings back commits that reads of the newest term did not see. A crashed
 // endpoint is back within 7 s; a service must not be without a primary for longer than `recover_s`.
@@ -201,10 +204,24 @@
             return ChoiceWait::Answers;
         if (!isComplete(position))
             return position < longestLog_ ? ChoiceWait::LongestLog : ChoiceWait::Copies;
+        if (position < longestRefusedLog() && evidence_.waited < refusedLogTimeout)
+            return ChoiceWait::LongestLog;
         return newest || evidence_.holderMissing >= newestTermTimeout ? ChoiceWait::None
                                                                       : ChoiceWait::NewestTerm;
     }
 
+    // Longest log among the endpoints that answered and that the platform lately did not promote.
+    TermPosition longestRefusedLog() const
+    {
+        TermPosition longest;
+        for (const EndpointId &id : evidence_.refused) {
+            const ReplicationStatus *status = statusOf(id);
+            if (status && status->received <= longestLog_)
+                longest = std::max(longest, status->received);
+        }
+        return longest;
+    }
+
     // Whether a replica may still receive commits of the demoted primary that all replicas lack.
     bool mayCatchUp(const ReplacementCandidate &best) const
     {
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -61,7 +61,9 @@
     Answers, ///< no endpoint that could be promoted has answered, or more may answer in time
     CatchUp, ///< the replicas may still receive the end of the former primary's log
     Copies, ///< too many of the endpoints that may hold acknowledged commits did not answer
-    LongestLog, ///< the endpoint with the longest log cannot be promoted now
+    /// The endpoint with the longest log cannot be promoted now; without synchronous replicas, for
+    /// at most 3 s.
+    LongestLog,
     NewestTerm, ///< only logs of older terms answered; a holder of the newest one may come back
 };
 
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -285,6 +285,30 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
 }
 
+// Guards against the loss of commits, without synchronous replicas, because the platform refused
+// once to promote the replica that holds them: 409 also means that it is not running at the moment.
+TEST(PrimaryReplacement, refusedEndpointIsNotAskedAgainWithoutSynchronousReplicas)
+{
+    announce();
+    input.allAcknowledged = true;
+    const std::map<EndpointId, ReplicationStatus> statuses{{first, replicaAt(9)},
+                                                           {second, replicaAt(7)}};
+    survey(statuses);
+    for (int refusals = 0; refusals < 2; ++refusals) {
+        CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+        replacement.handlePromoted(PromotionOutcome::NotPromotable, input.now);
+        input.now += 100ms;
+        survey(statuses);
+        CHECK_FALSE(nextCommandIs<PromoteCommand>());
+        input.now += 1s;
+    }
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+    replacement.handlePromoted(PromotionOutcome::NotPromotable, input.now);
+    input.now += 900ms;
+    survey(statuses);
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == second);
+}
+
 // Guards against a service without a primary for seconds: a draining primary was demoted although
 // the only replica that could follow it received nothing.
 TEST(PrimaryReplacement, primaryIsDemotedWhileNoReplicaKeepsUp)
