--- a/src/takeover/primary_choice.cpp
+++ b/src/takeover/primary_choice.cpp
@@ -15,6 +15,9 @@
 // of milliseconds behind, and a draining endpoint keeps running for seconds.
 constexpr Milliseconds catchUpTimeout{2000};
 
+// How long the promotion of a shorter log waits for an endpoint that the platform refused to
+// promote, also without synchronous replicas. It is asked once a second.
+constexpr Milliseconds refusedLogTimeout{3000};
 // How long a log of an older term waits for a holder of the newest one, whose commits its promotion
 // would undo, while it brings back commits that reads of the newest term did not see. A crashed
 // endpoint is back within 7 s; a service must not be without a primary for longer than `recover_s`.
@@ -27,7 +30,10 @@
         : evidence_(evidence)
     {
         for (const auto &[id, status] : evidence.statuses) {
-            newestTerm_ = std::max(newestTerm_, status.term);
+            highestTerm_ = std::max(highestTerm_, status.term);
+            // A former primary that stepped down has the number of its demotion.
+            if (status.primary || id != evidence.formerPrimary)
+                newestTerm_ = std::max(newestTerm_, status.term);
             holderAnswered_ = holderAnswered_ || holdsNewestTerm(status, evidence.newest);
         }
         // A log that ends in an older term may hold commits that the newest one left out.
@@ -44,7 +50,7 @@
         const ReplicationStatus *former = statusOf(evidence_.formerPrimary);
         if (former && former->primary && !evidence_.demotionTried)
             return {PrimaryChoice::Action::Demote, evidence_.formerPrimary,
-                    Term(newestTerm_.value() + 1)};
+                    Term(highestTerm_.value() + 1)};
         const ReplacementCandidate *best = findLongestLog();
         if (const ChoiceWait wait = reasonToWait(best); wait != ChoiceWait::None)
             return {.wait = wait};
@@ -80,9 +86,14 @@
 
     bool mayBePublished(const EndpointId &id, const ReplicationStatus &status) const
     {
+        if (evidence_.unchanged.count(id) > 0)
+            return true;
         // Another endpoint has been in force since; its commits may be missing from this log.
-        if (evidence_.newest && status.term < evidence_.newest->term)
+        if (evidence_.newest && status.term < evidence_.newest->term
+            && id != evidence_.promotedOlderTerm)
             return false;
+        if (evidence_.orderedAfter)
+            return status.term > *evidence_.orderedAfter;
         // It may have restarted with its whole log.
         if (id == evidence_.formerPrimary)
             return !formerPrimaryDrains() && !formerLogIsLost();
@@ -193,10 +204,24 @@
             return ChoiceWait::Answers;
         if (!isComplete(position))
             return position < longestLog_ ? ChoiceWait::LongestLog : ChoiceWait::Copies;
+        if (position < longestRefusedLog() && evidence_.waited < refusedLogTimeout)
+            return ChoiceWait::LongestLog;
         return newest || evidence_.holderMissing >= newestTermTimeout ? ChoiceWait::None
                                                                       : ChoiceWait::NewestTerm;
     }
 
+    // Longest log among the endpoints that answered and that the platform lately did not promote.
+    TermPosition longestRefusedLog() const
+    {
+        TermPosition longest;
+        for (const EndpointId &id : evidence_.refused) {
+            const ReplicationStatus *status = statusOf(id);
+            if (status && status->received <= longestLog_)
+                longest = std::max(longest, status->received);
+        }
+        return longest;
+    }
+
     // Whether a replica may still receive commits of the demoted primary that all replicas lack.
     bool mayCatchUp(const ReplacementCandidate &best) const
     {
@@ -215,6 +240,7 @@
     }
 
     const PrimaryEvidence &evidence_;
+    Term highestTerm_; ///< of all answers, demotions included
     Term newestTerm_;
     bool holderAnswered_ = false;
     TermPosition longestLog_; ///< of the holders of the newest term, if any answered
--- a/src/takeover/primary_choice.h
+++ b/src/takeover/primary_choice.h
@@ -39,6 +39,14 @@
     /// Time since the replacement first lacked an answer of an endpoint that holds the newest term,
     /// over all attempts.
     Milliseconds holderMissing{0};
+    /// Newest term in force when a promotion was ordered, or may have been by another daemon. It
+    /// may take effect at any time, so only an endpoint that leads in a newer term is published.
+    std::optional<Term> orderedAfter;
+    /// Endpoint that was promoted although its log is of an older term than `newest`.
+    std::optional<EndpointId> promotedOlderTerm;
+    /// Endpoints that still lead in the same term long after their promotion was accepted: the
+    /// platform changes nothing for an endpoint that it regards as the primary.
+    std::set<EndpointId> unchanged;
     bool demotionTried = false; ///< the former primary has been asked to step down
     /// Endpoints whose log may be gone, and the position up to which they may have held commits;
     /// nullopt if that is unknown.
@@ -53,7 +61,9 @@
     Answers, ///< no endpoint that could be promoted has answered, or more may answer in time
     CatchUp, ///< the replicas may still receive the end of the former primary's log
     Copies, ///< too many of the endpoints that may hold acknowledged commits did not answer
-    LongestLog, ///< the endpoint with the longest log cannot be promoted now
+    /// The endpoint with the longest log cannot be promoted now; without synchronous replicas, for
+    /// at most 3 s.
+    LongestLog,
     NewestTerm, ///< only logs of older terms answered; a holder of the newest one may come back
 };
 
--- a/src/takeover/primary_replacement_test.cpp
+++ b/src/takeover/primary_replacement_test.cpp
@@ -285,6 +285,30 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
 }
 
+// Guards against the loss of commits, without synchronous replicas, because the platform refused
+// once to promote the replica that holds them: 409 also means that it is not running at the moment.
+TEST(PrimaryReplacement, refusedEndpointIsNotAskedAgainWithoutSynchronousReplicas)
+{
+    announce();
+    input.allAcknowledged = true;
+    const std::map<EndpointId, ReplicationStatus> statuses{{first, replicaAt(9)},
+                                                           {second, replicaAt(7)}};
+    survey(statuses);
+    for (int refusals = 0; refusals < 2; ++refusals) {
+        CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+        replacement.handlePromoted(PromotionOutcome::NotPromotable, input.now);
+        input.now += 100ms;
+        survey(statuses);
+        CHECK_FALSE(nextCommandIs<PromoteCommand>());
+        input.now += 1s;
+    }
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+    replacement.handlePromoted(PromotionOutcome::NotPromotable, input.now);
+    input.now += 900ms;
+    survey(statuses);
+    CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == second);
+}
+
 // Guards against a service without a primary for seconds: a draining primary was demoted although
 // the only replica that could follow it received nothing.
 TEST(PrimaryReplacement, primaryIsDemotedWhileNoReplicaKeepsUp)
@@ -369,6 +393,63 @@
     CHECK_TRUE(nextCommand<PromoteCommand>().olderTerm);
 }
 
+// Guards against the old primary being published again after an accepted promotion whose endpoint
+// went away before it was seen as primary: it may lead at any time. The order is this daemon's, or
+// may be that of the daemon whose announcement this one has taken over.
+TEST(PrimaryReplacement, oldPrimaryIsPublishedAfterAPromotionWasOrdered)
+{
+    for (const bool takenOver : {false, true}) {
+        replacement = PrimaryReplacement(ServiceName("db"), VmId("vm"));
+        input = {};
+        setup();
+        input.newest = {Term(1), {Term(1), LogPosition(9)}};
+        input.announcedByThisRun = !takenOver;
+        announce();
+        input.candidates.front().draining = false;
+        input.allAcknowledged = true;
+        if (!takenOver) {
+            survey({{first, replicaAt(9)}, {second, replicaAt(8)}});
+            CHECK_TRUE(nextCommand<PromoteCommand>().endpoint == first);
+            replacement.handlePromoted(PromotionOutcome::Accepted, input.now);
+            input.now += 5s;
+        }
+        survey({{oldPrimary, primaryAt(9)}, {second, replicaAt(8)}});
+        CHECK_TRUE(nextCommandIs<DemoteCommand>());
+        replacement.handleDemoted({}, input.now); // no answer
+        input.now += 4s;
+        CHECK_FALSE(nextCommandIs<PublishCommand>());
+        replacement.handleSurvey({{first, {true, Term(2), {Term(1), LogPosition(9)}}}}, input.now);
+        const PrimaryRecord record = nextCommand<PublishCommand>().record;
+        CHECK_TRUE(record.primary == first && record.newest->term == Term(2));
+    }
+}
+
+// Guards against an endpoint that is published in its former term, before its promotion has taken
+// effect, and against a service without a primary where the platform changes nothing.
+TEST(PrimaryReplacement, endpointIsPublishedBeforeItsPromotionTakesEffect)
+{
+    input.newest = {Term(2), {Term(2), LogPosition(9)}};
+    input.announcedByThisRun = true;
+    announce();
+    input.allAcknowledged = true;
+    survey({{first, primaryAt(7)}});
+    input.now += 15s;
+    CHECK_TRUE(nextCommand<PromoteCommand>().olderTerm);
+    replacement.handlePromoted(PromotionOutcome::Accepted, input.now);
+    for (int i = 0; i < 30; ++i) {
+        input.now += 100ms;
+        survey({{first, primaryAt(7)}});
+    }
+    PrimaryReplacement changed = replacement;
+    changed.step(input);
+    changed.handleSurvey({{first, {true, Term(3), {Term(1), LogPosition(7)}}}}, input.now);
+    const auto published = changed.step(input);
+    CHECK_TRUE(published && std::holds_alternative<PublishCommand>(*published));
+    input.now += 2s;
+    survey({{first, primaryAt(7)}});
+    CHECK_TRUE(nextCommand<PublishCommand>().record.newest->term == Term(1));
+}
+
 // Guards against two daemons that continue the same replacement.
 TEST(PrimaryReplacement, newerRecordEndsTheAttempt)
 {
