Count the bytes between daemons by purpose

A fleet of 146 daemons collapsed with the link between the regions full, and nothing showed what filled it: the byte counters only know the class of a connection. Event 1606, every 10 s while there is anything to count, now gives the encoded bytes of reports, promises and copies of each group in both directions, the bytes of the store's answers by call, and how many exchanges were answered in time, late (up to 10 s after the timeout) or not at all.

To see late answers, one overdue exchange of each peer is no longer cancelled at its timeout; its answer is still dropped. More are not kept, because a peer that was cut off would answer all of them at once.

Test: PeerRpc, countsBytesByPurposeAndLateAnswers (there were no counters before).

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -60,6 +60,11 @@
     EVENT(MemberLeaving, 1603, Info, "member is leaving")                                                  \
     EVENT(MemberRefuted, 1604, Info, "this daemon refuted a report that it had failed")                    \
     EVENT(MembershipMessageRefused, 1605, Warning, "membership message refused")                           \
+    EVENT(LinkTrafficCounted, 1606, Info,                                                                  \
+          "bytes between daemons and from the store since the last such event")                            \
+    EVENT(PeerAnswersLate, 1607, Warning,                                                                  \
+          "most answers of peers arrive late; exchanges and copies are slowed down")                       \
+    EVENT(PeerAnswersInTime, 1608, Info, "answers of peers arrive in time again")                          \
     EVENT(ConfigurationApplied, 1700, Info, "configuration applied")                                       \
     EVENT(ConfigurationRefused, 1701, Warning, "older configuration refused")                              \
     EVENT(ObjectInvalid, 1702, Error, "object is invalid; the previous version stays in force")            \
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -1,15 +1,34 @@
 #include "rpc/peer_rpc.h"
 
+#include "base/address.h"
 #include "rpc/control_wire.h"
 #include "rpc/loop_calls.h"
 #include "rpc/rpc_host.h"
+#include "takeover/link_traffic.h"
 
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
 #include <utility>
 
 namespace pistachiowood {
 
 namespace {
 
+// Time after the timeout of an exchange for which its answer is still awaited. Of each peer, only
+// one answer is awaited for longer than the timeout: a peer that was cut off gets all requests of
+// that time at once, and answers those that were not cancelled.
+constexpr auto lateAnswerLimit = 10 * kj::SECONDS;
+
+// Exchange that this daemon has started. Used in the RPC thread only.
+struct PendingExchange
+{
+    bool ended = false; ///< it was answered or has failed
+    bool overdue = false; ///< the timeout has passed before that
+    kj::Canceler canceler; ///< of the answer
+};
+
 // Encodes an age that is unknown.
 constexpr std::int64_t unknownAgeMs = -1;
 
@@ -167,6 +186,28 @@
     return report;
 }
 
+// Counts the encoded bytes of the report and of its copies. Returns the report.
+wire::PeerReport::Reader countBytes(TrafficDirection direction, wire::PeerReport::Reader report)
+{
+    const auto bytesOf = [](auto reader) {
+        return static_cast<std::size_t>(reader.totalSize().wordCount) * sizeof(capnp::word);
+    };
+    LinkTraffic &traffic = LinkTraffic::ofProcess();
+    std::size_t rest = bytesOf(report);
+    const auto copies = report.getCopies();
+    for (unsigned i = 0; i < copies.size() && i < objectGroupCount; ++i) {
+        if (!copies[i].getPresent())
+            continue;
+        const std::size_t size = bytesOf(copies[i]);
+        const auto first = static_cast<unsigned>(PeerPurpose::ConfigurationCopies);
+        traffic.addPeerBytes(static_cast<PeerPurpose>(first + i), direction, size);
+        rest -= std::min(rest, size);
+    }
+    traffic.addPeerBytes(report.getPromise() ? PeerPurpose::Promises : PeerPurpose::Reports,
+                         direction, rest);
+    return report;
+}
+
 class PeerServer final : public wire::Peer::Server
 {
 public:
@@ -180,11 +221,15 @@
     kj::Promise<void> exchange(ExchangeContext context) override
     {
         return invoker_
-            .call<PeerReport>([this, report = decodeReport(context.getParams().getReport())] {
-                return handler_(report);
-            })
+            .call<PeerReport>(
+                [this, report = decodeReport(countBytes(TrafficDirection::Received,
+                                                        context.getParams().getReport()))] {
+                    return handler_(report);
+                })
             .then([context](const PeerReport &answer) mutable {
-                encodeReport(answer, context.getResults().initReport());
+                auto builder = context.getResults().initReport();
+                encodeReport(answer, builder);
+                countBytes(TrafficDirection::Sent, builder.asReader());
             });
     }
 
@@ -199,11 +244,12 @@
 {
     EventLoop &loop;
     Handler handler;
-    RpcHost host;
+    std::map<std::string, std::shared_ptr<PendingExchange>> overdue; ///< the last one, by address
+    RpcHost host; ///< its thread uses the members above
 };
 
 PeerRpc::PeerRpc(EventLoop &loop, Handler handler)
-    : private_(new Private{loop, std::move(handler), {}})
+    : private_(new Private{loop, std::move(handler), {}, {}})
 {
 }
 
@@ -226,14 +272,52 @@
 void PeerRpc::exchange(const SocketAddress &peer, const PeerReport &report, Milliseconds timeout,
                        Callback callback)
 {
+    LinkTraffic::ofProcess().addExchange();
     const auto call = [report](wire::Peer::Client client) {
         auto request = client.exchangeRequest();
-        encodeReport(report, request.initReport());
-        return request.send().then(
-            [](auto &&response) { return decodeReport(response.getReport()); });
+        auto builder = request.initReport();
+        encodeReport(report, builder);
+        countBytes(TrafficDirection::Sent, builder.asReader());
+        return request.send().then([](auto &&response) {
+            return decodeReport(countBytes(TrafficDirection::Received, response.getReport()));
+        });
+    };
+    const auto finish = [eventLoop = &private_->loop,
+                         callback = std::move(callback)](std::variant<PeerReport, Error> outcome) {
+        eventLoop->post([callback, outcome = std::move(outcome)] { callback(outcome); });
     };
-    callPeer<wire::Peer, PeerReport>(private_->host, private_->loop, peer, timeout, call,
-                                     std::move(callback));
+    private_->host.post([peer, timeout, call, finish,
+                         &overdue = private_->overdue](RpcHost::Context &context) {
+        const auto pending = std::make_shared<PendingExchange>();
+        auto answer = context.connect(peer).then(
+            [call](capnp::Capability::Client client) { return call(client.castAs<wire::Peer>()); });
+        const auto limit = timeout.count() * kj::MILLISECONDS;
+        context.run(context.timer().afterDelay(limit).then([pending, finish, &overdue, peer] {
+            if (pending->ended)
+                return;
+            pending->overdue = true;
+            finish(Error{ErrorCode::Unavailable, "no answer in time"});
+            if (const auto former = std::exchange(overdue[formatAddress(peer)], pending))
+                former->canceler.cancel("a later exchange is overdue, too");
+        }));
+        auto limited = context.timer().timeoutAfter(limit + lateAnswerLimit, kj::mv(answer));
+        context.run(
+            pending->canceler.wrap(kj::mv(limited))
+                .then(
+                    [pending, finish](PeerReport value) {
+                        pending->ended = true;
+                        LinkTraffic::ofProcess().addExchangeEnd(
+                            pending->overdue ? ExchangeEnd::Late : ExchangeEnd::InTime);
+                        if (!pending->overdue)
+                            finish(std::move(value));
+                    },
+                    [pending, finish](kj::Exception &&failure) {
+                        pending->ended = true;
+                        LinkTraffic::ofProcess().addExchangeEnd(ExchangeEnd::GivenUp);
+                        if (!pending->overdue)
+                            finish(Error{ErrorCode::Unavailable, failure.getDescription().cStr()});
+                    }));
+    });
 }
 
 } // namespace pistachiowood
--- a/src/rpc/peer_rpc_test.cpp
+++ b/src/rpc/peer_rpc_test.cpp
@@ -1,4 +1,5 @@
 #include "rpc/peer_rpc.h"
+#include "takeover/link_traffic.h"
 #include "takeover/takeover_fixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #include <optional>
+#include <thread>
 #include <variant>
 #include <vector>
 
@@ -132,3 +134,36 @@
     CHECK_TRUE(exchange(caller, server.port()));
     CHECK_TRUE(answer->vm == VmId("server"));
 }
+
+// Guards against counts that don't show what fills a link: a copy that counts as a report, or a
+// late answer that counts as none.
+TEST(PeerRpc, countsBytesByPurposeAndLateAnswers)
+{
+    Milliseconds delay{0};
+    PeerRpc server(loop, [&](const PeerReport &) {
+        std::this_thread::sleep_for(delay);
+        PeerReport report;
+        report.copies.push_back({.group = ObjectGroup::Records,
+                                 .version = storeVersion(7),
+                                 .items = {storedItem(std::string(2000, 'a'), storeVersion(7))}});
+        return report;
+    });
+    CHECK_TRUE(!!server.listen({"127.0.0.1", 0}));
+    PeerRpc caller(loop, [](const PeerReport &report) { return report; });
+    CHECK_TRUE(!!caller.listen({"127.0.0.1", 0}));
+    LinkTraffic::ofProcess().take();
+    CHECK_TRUE(exchange(caller, server.port()));
+    delay = 350ms; // longer than the timeout
+    CHECK_FALSE(exchange(caller, server.port()));
+    runLoop(100ms);
+    const LinkTraffic::Counts counts = LinkTraffic::ofProcess().take();
+    LONGS_EQUAL(2, counts.exchanges);
+    LONGS_EQUAL(1, counts.of(ExchangeEnd::InTime));
+    LONGS_EQUAL(1, counts.of(ExchangeEnd::Late));
+    for (const TrafficDirection direction : {TrafficDirection::Sent, TrafficDirection::Received}) {
+        CHECK_TRUE(counts.of(PeerPurpose::RecordCopies, direction) > 2 * 2000);
+        CHECK_TRUE(counts.of(PeerPurpose::Reports, direction) > 0);
+        CHECK_TRUE(counts.of(PeerPurpose::Reports, direction) < 2000);
+        LONGS_EQUAL(0, counts.of(PeerPurpose::ConfigurationCopies, direction));
+    }
+}
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -1,6 +1,7 @@
 #include "takeover/fleet_control.h"
 
 #include "base/log.h"
+#include "takeover/link_traffic.h"
 
 #include <utility>
 
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr Milliseconds tickInterval{50};
+constexpr Milliseconds trafficLogInterval{10000}; // shorter than most faults, at one line each
 // Longest time that a watch waits for a change. Watches are charged per call, and keep-alive probes
 // detect a dead connection in the meantime.
 constexpr Milliseconds maxWatchWait{20000};
@@ -80,6 +82,17 @@
     for (const auto &feed : context_.feeds)
         feed->start();
     tick(); // chooses the feeds that watch before the first lists are answered
+    scheduleTrafficLog();
+}
+
+void FleetControl::scheduleTrafficLog()
+{
+    context_.loop.startTimer(trafficLogInterval, [this, alive = context_.alive] {
+        if (!*alive)
+            return;
+        LinkTraffic::ofProcess().log();
+        scheduleTrafficLog();
+    });
 }
 
 void FleetControl::stopReplacements()
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -43,6 +43,7 @@
     void publishView();
     unsigned distanceTo(const ZoneName &zone) const;
     void tick();
+    void scheduleTrafficLog();
 
     FleetContext context_;
     FleetPeers peers_;
