Send partial copies after a list of the same era

A daemon that had listed again counted all earlier removals as unknown, so that every peer got the whole group from it.

The removals are known for peers that are not ahead of the replica's version before the list, because both states are compared. Only peers between the two versions need the whole group. A peer's own change in between may concern an object that the sender has never held; the receiver of a partial copy therefore removes its objects of that span that the copy lacks.

Test: GroupReplica, peersGetWholeCopiesAfterAList (without the change the copy has no start version).

--- a/src/takeover/group_replica.cpp
+++ b/src/takeover/group_replica.cpp
@@ -84,11 +84,18 @@
         else if (stored_.count(name) == 0)
             removed_[name] = {state.version, item.version.written};
     }
+    if (entersEra || !loaded_) {
+        removalHorizon_ = state.version;
+        listedFrom_ = listedTo_ = state.version;
+    } else if (version_ < state.version) {
+        removalHorizon_ = std::max(removalHorizon_, listedTo_);
+        listedFrom_ = version_;
+        listedTo_ = state.version;
+    }
     std::erase_if(carried_, [&](const auto &entry) {
         const auto found = stored_.find(entry.first);
         return found != stored_.end() && found->second.version.isNewerThan(entry.second.version);
     });
-    removalHorizon_ = state.version;
     contentVersion_ = state.version;
     version_ = std::max(version_, state.version);
     loaded_ = true;
@@ -204,6 +211,16 @@
             return false;
         if (!raiseContentVersion(copy.version)) {
             GroupChanges changes{copy.version, {}};
+            std::set<std::string> present;
+            for (const StoredItem &item : copy.items)
+                present.insert(item.name);
+            // Own changes after `since` that the copy lacks were removed again. The sender may not
+            // know the removals of objects that it has never held.
+            for (const auto &[name, item] : stored_) {
+                if (item.version.stored > *copy.since && item.version.stored <= copy.version
+                    && present.count(name) == 0)
+                    changes.changes.push_back({item, true});
+            }
             for (const StoredItem &item : copy.items)
                 changes.changes.push_back({item, false});
             for (const std::string &name : copy.removed) {
@@ -275,10 +292,13 @@
     return size;
 }
 
-// If not all removals since the peer's version are remembered, it needs the whole group.
+// If not all removals since the peer's version are known, it needs the whole group. After a list,
+// they are known for peers that were not ahead of the replica's former version: when the store
+// drops its history, the fleet must not need whole copies.
 bool GroupReplica::needsAll(const ReplicaState &peer) const
 {
-    return peer.content.era != version_.era || peer.content < removalHorizon_;
+    return peer.content.era != version_.era || peer.content < removalHorizon_
+           || (peer.content > listedFrom_ && peer.content < listedTo_);
 }
 
 bool GroupReplica::lacks(const ReplicaState &peer, const StoredItem &item) const
--- a/src/takeover/group_replica.h
+++ b/src/takeover/group_replica.h
@@ -107,6 +107,10 @@
     std::map<std::string, WriterCount> removedEarlier_;
     std::map<std::string, Removal> removed_; ///< in this era
     StoreVersion removalHorizon_; ///< removals up to this version are not known
+    /// Versions of the last list of this era and of the replica before it. Objects that were both
+    /// created and removed between them are not known.
+    StoreVersion listedFrom_;
+    StoreVersion listedTo_;
     StoreVersion version_;
     StoreVersion contentVersion_; ///< version at which the objects in the store last changed
     StoreVersion formerContent_; ///< content version when the former era ended for this replica
--- a/src/takeover/group_replica_test.cpp
+++ b/src/takeover/group_replica_test.cpp
@@ -51,6 +51,22 @@
     }
 };
 
+// Guards against whole copies for the fleet after the store has dropped its history, and against
+// objects that are kept although they were removed meanwhile.
+TEST(GroupReplica, peersGetWholeCopiesAfterAList)
+{
+    list(5, 1, {storedItem("a", storeVersion(4)), storedItem("b", storeVersion(5))});
+    GroupReplica peer = replica;
+    list(9, 1, {storedItem("a", storeVersion(4)), storedItem("c", storeVersion(9))});
+    CHECK_FALSE(replica.copyFor({storeVersion(7)}).since.has_value());
+    const GroupCopy copy = replica.copyFor(peer.state());
+    CHECK_TRUE(copy.since == storeVersion(5));
+    LONGS_EQUAL(1, copy.items.size());
+    peer.applyOwnChange(storedItem("d", storeVersion(8)));
+    CHECK_TRUE(peer.applyCopy(copy));
+    CHECK_TRUE(peer.items().size() == 2 && peer.items().count("b") + peer.items().count("d") == 0);
+}
+
 // Guards against a change that is never seen, because the store gave its revision out before it was
 // restored from an older copy.
 TEST(GroupReplica, changeUnderAReusedRevisionIsMissed)
