Let lists after a lost history wait for copies of peers

All daemons of a large fleet list the configuration at once when the store drops its history. A feed can now wait for a random time before that list, and a copy of a peer that arrives meanwhile makes it unnecessary. Without a delay, which is the default, it lists at once as before.

--- a/src/takeover/group_feed.cpp
+++ b/src/takeover/group_feed.cpp
@@ -212,7 +212,7 @@
         logEvent(Event::PlatformRecovered, {{"group", groupName(group_)}});
 }
 
-// Lists at once, but later lists wait until a watch has been answered.
+// Lists at once or after the list delay, but later lists wait until a watch has been answered.
 void GroupFeed::handleHistoryGone()
 {
     logEvent(Event::ConfigurationRelisted, {{"group", groupName(group_)},
@@ -221,7 +221,14 @@
     listNeeded_ = true;
     if (relists_ == 0) {
         ++relists_;
-        list();
+        if (listDelay_ == Milliseconds(0)) {
+            list();
+            return;
+        }
+        loop_.startTimer(random_.delayUpTo(listDelay_), [this, alive = alive_] {
+            if (*alive)
+                start();
+        });
     } else {
         scheduleRetry(relists_);
     }
@@ -275,7 +282,7 @@
                                           {"items", copy.items.size()},
                                           {"carried", copy.carried.size()}});
     }
-    if (!copy.since)
+    if (!copy.since || version() != former)
         listNeeded_ = false;
     const bool wasWatching = watchOpen_;
     noteEra(former.era);
--- a/src/takeover/group_feed.h
+++ b/src/takeover/group_feed.h
@@ -33,6 +33,9 @@
     void setWatching(bool watching);
     /// Sets the longest delay before a failed call is retried.
     void setMaxRetryDelay(Milliseconds delay) { maxRetryDelay_ = delay; }
+    /// Sets the longest delay before the list after a lost history: the daemons of a large fleet
+    /// would otherwise all list at once. A copy of a peer makes the list unnecessary.
+    void setListDelay(Milliseconds delay) { listDelay_ = delay; }
     bool watching() const { return watching_; }
     /// Applies a copy from a peer, if it is newer.
     void applyCopy(const GroupCopy &copy);
@@ -86,6 +89,7 @@
     bool watchOpen_ = false;
     unsigned relists_ = 0; ///< lists because of a lost history, until a watch is answered
     Milliseconds maxRetryDelay_{800}; ///< a small fleet makes a few calls a second in an outage
+    Milliseconds listDelay_{0};
     bool watching_ = true;
     bool idle_ = true; ///< no list, watch or retry is pending
     bool failing_ = false;
--- a/src/takeover/group_feed_test.cpp
+++ b/src/takeover/group_feed_test.cpp
@@ -227,3 +227,21 @@
     LONGS_EQUAL(1, receiver.store.cancelledWatches);
     CHECK_TRUE(receiver.store.watchedFrom == storeVersion(4, 2));
 }
+
+// Guards against lists of all daemons at once after the store has dropped its history, although a
+// peer has what they lack.
+TEST(GroupFeed, copyOfAPeerDoesNotReplaceADelayedList)
+{
+    start(sender, {storeVersion(9), {item("a", 3)}});
+    start(receiver, {storeVersion(9), {item("a", 3)}});
+    receiver.feed->setListDelay(1ms);
+    sender.store.answer({storeVersion(12), {{item("a", 12), false}}});
+    std::exchange(receiver.store.waitingWatch, nullptr)(StoreFailure::HistoryGone);
+    sendCopy();
+    runFor(50ms);
+    LONGS_EQUAL(1, receiver.store.lists);
+    CHECK_TRUE(receiver.store.watchedFrom == storeVersion(12));
+    std::exchange(receiver.store.waitingWatch, nullptr)(StoreFailure::HistoryGone);
+    runFor(250ms);
+    LONGS_EQUAL(2, receiver.store.lists);
+}
