Bound the traffic between the daemons of a large fleet

FleetPeers applies ExchangePacing if there are more than 12 other members: answers and requests hold only the copies that it admits, a report tells whether its sender accepts large ones (declinesCopies), late answers are used, and timeouts and intervals follow. Changes of the records never wait, and neither do reports. Records that a restored store has lost are exchanged as before. Lists after a lost history wait for up to 10 ms for each member, apart from those of the records and of confirmers. The rate of the VM's link comes from the settings.

A late answer counts as received when its request was sent, so that it confirms nothing too long and shows no outdated state of a primary as recent.

--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -179,6 +179,8 @@
   wantsEra @13 :Bool;
   # These groups shall leave out no object.
   wantsWhole @14 :Bool;
+  # The sender takes large copies from another peer, unless it asks for them here.
+  declinesCopies @15 :Bool;
 }
 
 interface Peer {
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -3027,6 +3027,8 @@
 
   inline bool getWantsWhole() const;
 
+  inline bool getDeclinesCopies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3127,6 +3129,9 @@
   inline bool getWantsWhole();
   inline void setWantsWhole(bool value);
 
+  inline bool getDeclinesCopies();
+  inline void setDeclinesCopies(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6027,6 +6032,20 @@
       ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getDeclinesCopies() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getDeclinesCopies() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setDeclinesCopies(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Time after the timeout of an exchange for which its answer is still awaited. Of each peer, only
+// Time after the timeout of an exchange for which its answer is still accepted. Of each peer, only
 // one answer is awaited for longer than the timeout: a peer that was cut off gets all requests of
 // that time at once, and answers those that were not cancelled.
 constexpr auto lateAnswerLimit = 10 * kj::SECONDS;
@@ -122,6 +122,7 @@
     builder.setWantsEra(report.wantsEra);
     builder.setWantsWhole(report.wantsWhole);
     builder.setWantsConfiguration(report.wantsConfiguration);
+    builder.setDeclinesCopies(report.declinesCopies);
     auto primaries = builder.initPrimaries(static_cast<unsigned>(report.primaries.size()));
     for (unsigned i = 0; i < primaries.size(); ++i) {
         const PrimaryReport &primary = report.primaries.at(i);
@@ -165,6 +166,7 @@
     report.wantsEra = reader.getWantsEra();
     report.wantsWhole = reader.getWantsWhole();
     report.wantsConfiguration = reader.getWantsConfiguration();
+    report.declinesCopies = reader.getDeclinesCopies();
     for (const auto primary : reader.getPrimaries()) {
         PrimaryReport &entry = report.primaries.emplace_back();
         entry.service = ServiceName(decodeText(primary.getService()));
@@ -308,8 +310,7 @@
                         pending->ended = true;
                         LinkTraffic::ofProcess().addExchangeEnd(
                             pending->overdue ? ExchangeEnd::Late : ExchangeEnd::InTime);
-                        if (!pending->overdue)
-                            finish(std::move(value));
+                        finish(std::move(value));
                     },
                     [pending, finish](kj::Exception &&failure) {
                         pending->ended = true;
--- a/src/takeover/fleet_context.cpp
+++ b/src/takeover/fleet_context.cpp
@@ -12,10 +12,14 @@
 
 } // namespace
 
-std::vector<GroupCopy> FleetContext::copiesFor(const PeerReport &peer, bool eraOnRequest) const
+std::vector<GroupCopy> FleetContext::copiesFor(const PeerReport &peer, bool eraOnRequest,
+                                               const CopyFilter &admits) const
 {
     std::vector<GroupCopy> copies;
-    for (std::size_t i = 0; i < objectGroupCount; ++i) {
+    // In the order in which the bytes that may be sent are given out.
+    for (const ObjectGroup group :
+         {ObjectGroup::Records, ObjectGroup::Configuration, ObjectGroup::Endpoints}) {
+        const auto i = static_cast<std::size_t>(group);
         const GroupFeed &source = *feeds.at(i);
         const ReplicaState &known = peer.replicas.at(i);
         const GroupReplica &own = source.replica();
@@ -23,12 +27,13 @@
         if (!own.isAheadOf(known) || (otherEra && eraOnRequest && !peer.wantsEra))
             continue;
         const bool unaskedConfiguration =
-            static_cast<ObjectGroup>(i) == ObjectGroup::Configuration && !peer.wantsConfiguration;
+            group == ObjectGroup::Configuration && !peer.wantsConfiguration;
         // Daemons of a large fleet list the configuration of a later era themselves.
         if (unaskedConfiguration
             && ((otherEra && eraOnRequest) || own.copySize(known) > smallConfigurationBytes))
             continue;
-        copies.push_back(own.copyFor(known, peer.wantsWhole));
+        if (GroupCopy copy = own.copyFor(known, peer.wantsWhole); admits(copy))
+            copies.push_back(std::move(copy));
     }
     return copies;
 }
--- a/src/takeover/fleet_context.h
+++ b/src/takeover/fleet_context.h
@@ -47,6 +47,7 @@
     Milliseconds drainLimit{7000}; ///< time until a draining endpoint gets no statements
     SocketAddress peerAddress; ///< address at which peers reach this daemon
     std::vector<SocketAddress> seeds; ///< daemons to ask if the store is unreachable at the start
+    std::optional<unsigned> linkRate; ///< of this VM's link, Mbit/s
 
     /// Region of the zone; empty if the zone is unknown.
     RegionName regionOf(const ZoneName &zoneName) const
@@ -75,6 +76,7 @@
     /// False once the FleetControl is destroyed; checked by callbacks that may run later.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    using CopyFilter = std::function<bool(const GroupCopy &copy)>;
     using RecordCallback = std::function<void(const StoreOutcome<StoreVersion> &)>;
 
     GroupFeed &feed(ObjectGroup group) const { return *feeds.at(static_cast<std::size_t>(group)); }
@@ -87,7 +89,9 @@
     /// Returns copies of the groups of which the peer has an older version. Leaves out a large
     /// configuration unless the peer requests it, and with `eraOnRequest` also groups of another
     /// era than the peer's.
-    std::vector<GroupCopy> copiesFor(const PeerReport &peer, bool eraOnRequest) const;
+    /// Copies that `admits` rejects are left out.
+    std::vector<GroupCopy> copiesFor(const PeerReport &peer, bool eraOnRequest,
+                                     const CopyFilter &admits) const;
     /// Passes copies from a peer to the feeds of their groups.
     void applyCopies(const std::vector<GroupCopy> &copies) const;
     /// Ids of the endpoints of the service.
--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -738,6 +738,30 @@
     CHECK_TRUE(holdsConfiguration());
 }
 
+// Guards against copies from several members of a large fleet to one that takes them from another,
+// and against the same copy twice while the first one is on its way.
+TEST(FleetControl, declinedCopiesAreSent)
+{
+    addPeers(20);
+    for (unsigned i = 0; i < 30; ++i)
+        store.change(ObjectGroup::Endpoints, "e-" + std::to_string(i), std::string(200, ' '));
+    start(false);
+    runFor(500ms);
+    PeerReport request;
+    request.vm = VmId("vm-1");
+    request.replicas.at(2).content = store.version;
+    request.replicas.at(1).content = storeVersion(1); // lacks all endpoints
+    request.declinesCopies = true;
+    const auto copies = [&] { return control->handlePeerReport(request).copies.size(); };
+    LONGS_EQUAL(0, copies());
+    request.declinesCopies = false;
+    LONGS_EQUAL(1, copies());
+    LONGS_EQUAL(0, copies());
+    runFor(650ms);
+    request.replicas.at(2).content = store.version;
+    LONGS_EQUAL(1, copies());
+}
+
 // Guards against a daemon that never gets a large configuration while the store is unreachable, and
 // against simultaneous requests for it to many peers.
 TEST(FleetControl, newerConfigurationIsFetchedFromOnePeerAtATime)
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -15,13 +15,8 @@
 // because a promise keeps the daemon from replacing primaries. Confirmations are at most 1.6 s old
 // while the store answers.
 constexpr Milliseconds promiseConfirmationAge{1900};
-// Time that the store's watch has to deliver a large configuration before a peer is asked for it; a
-// configuration must be in force within 5 s.
-constexpr Milliseconds configurationFetchDelay{1000};
-constexpr Milliseconds configurationFetchTimeout{3000}; // ten daemons share a link of 10 Mbit/s
-constexpr Milliseconds configurationFetchInterval{1000};
+constexpr Milliseconds configurationFetchInterval{1000}; // for a daemon without one
 constexpr Milliseconds eraFetchTimeout{1500}; // 16 daemons fetch 20 KB each over one link
-constexpr Milliseconds eraFetchInterval{200};
 // Failed exchanges in a row from which the next confirmer of the region collects promises.
 constexpr unsigned collectorFailureLimit = 2;
 constexpr Milliseconds largeFleetExchangeInterval{500};
@@ -38,7 +33,6 @@
 constexpr Milliseconds reachableReplyMaxAge{700}; // primaries are probed every 500 ms
 constexpr Milliseconds failingMinDuration{400};
 constexpr auto recordsIndex = static_cast<std::size_t>(ObjectGroup::Records);
-constexpr auto configurationIndex = static_cast<std::size_t>(ObjectGroup::Configuration);
 
 } // namespace
 
@@ -47,6 +41,7 @@
     , hooks_(std::move(hooks))
     , members_(context.settings)
 {
+    pacing_.setLinkRate(context.settings.linkRate);
 }
 
 void FleetPeers::setMembers(const std::map<VmId, DaemonRecord> &present,
@@ -57,6 +52,8 @@
     for (const auto &[vm, member] : members_.others())
         peerStates_.try_emplace(vm, PeerState{.receivedAt = now});
     std::erase_if(peerStates_, [&](const auto &entry) { return !members_.contains(entry.first); });
+    pacing_.retainPeers([&](const VmId &vm) { return members_.contains(vm); });
+    pacing_.setRegionMembers(members_.regionMembers().size());
     confirmation_.nextConfirmer = members_.nearestConfirmer();
     context_.traffic.setProbing(members_.isConfirmer());
 }
@@ -175,7 +172,7 @@
     const Milliseconds interval = small                      ? exchangeInterval
                                   : outdated && !isCollector ? renewalExchangeInterval
                                                              : largeFleetExchangeInterval;
-    if (now - lastExchange_ < interval)
+    if (now - lastExchange_ < (small ? interval : pacing_.interval(interval)))
         return;
     // In a large fleet one confirmer of each region collects the promises of all daemons. The
     // others exchange reports with it and one random peer, so that an outage does not fill the
@@ -186,78 +183,6 @@
         exchangeWithSome();
 }
 
-// Fetches a newer configuration from one peer at a time. If every answer held a large one, it would
-// fill the links while the store is unreachable and half of the fleet lacks it.
-void FleetPeers::fetchNewerConfiguration(TimePoint now)
-{
-    const GroupReplica &own = context_.feed(ObjectGroup::Configuration).replica();
-    std::vector<VmId> holders;
-    for (const auto &[vm, state] : peerStates_) {
-        if (members_.contains(vm) && state.failures == 0 && state.report
-            && own.isBehind(state.report->replicas.at(configurationIndex)))
-            holders.push_back(vm);
-    }
-    if (holders.empty()) {
-        configurationOutdatedSince_.reset();
-        return;
-    }
-    if (!configurationOutdatedSince_)
-        configurationOutdatedSince_ = now;
-    if (fetchingConfiguration_ || now - *configurationOutdatedSince_ < configurationFetchDelay
-        || now < nextConfigurationFetch_)
-        return;
-    fetchingConfiguration_ = true;
-    nextConfigurationFetch_ = now + context_.random.delayAround(configurationFetchInterval);
-    const VmId &holder = holders.at(context_.random.below(holders.size()));
-    PeerReport report = makeReport();
-    report.wantsConfiguration = true;
-    context_.peers.exchange(members_.others().at(holder).record.address, report,
-                            configurationFetchTimeout,
-                            [this, alive = context_.alive](const auto &outcome) {
-                                if (!*alive)
-                                    return;
-                                fetchingConfiguration_ = false;
-                                if (const auto *answer = std::get_if<PeerReport>(&outcome))
-                                    context_.applyCopies(answer->copies);
-                            });
-}
-
-bool FleetPeers::isOfLaterEra(const PeerStatus &peer) const
-{
-    for (const ObjectGroup group : {ObjectGroup::Endpoints, ObjectGroup::Records}) {
-        const StoreEra era = peer.replicas.at(static_cast<std::size_t>(group)).content.era;
-        if (era > context_.feed(group).version().era)
-            return true;
-    }
-    return false;
-}
-
-// In a large fleet, a daemon fetches the objects of a later era from one peer at a time, if
-// possible from a confirmer of its region: whole copies in all answers would fill the links.
-void FleetPeers::fetchLaterEra(TimePoint now)
-{
-    const bool listsItself = context_.records().watching() && !context_.records().failing();
-    if (!members_.isLarge() || fetchingEra_ || listsItself || now < nextEraFetch_)
-        return;
-    std::vector<VmId> holders;
-    const auto consider = [&](const VmId &vm) {
-        const auto state = peerStates_.find(vm);
-        if (state != peerStates_.end() && state->second.failures == 0 && state->second.report
-            && !state->second.exchanging && isOfLaterEra(*state->second.report))
-            holders.push_back(vm);
-    };
-    for (const VmId &vm : members_.confirmers())
-        consider(vm);
-    if (holders.empty()) {
-        for (const auto &[vm, member] : members_.others())
-            consider(vm);
-    }
-    if (holders.empty())
-        return;
-    nextEraFetch_ = now + context_.random.delayAround(eraFetchInterval);
-    exchangeWithMember(holders.at(context_.random.below(holders.size())));
-}
-
 void FleetPeers::exchangeWithAll(bool wantPromise)
 {
     lastExchange_ = context_.clock.now();
@@ -283,9 +208,7 @@
 {
     lastExchange_ = context_.clock.now();
     exchangeWithMember(promiseCollector());
-    auto other = members_.others().begin();
-    std::advance(other, static_cast<std::ptrdiff_t>(context_.random.below(members_.otherCount())));
-    exchangeWithMember(other->first);
+    exchangeWithMember(chooseOther(lastExchange_));
 }
 
 void FleetPeers::exchangeWithMember(const VmId &vm)
@@ -319,39 +242,70 @@
     if (round == nullptr && state.report) {
         const ReplicaState &known = state.report->replicas.at(recordsIndex);
         const bool sameEra = known.content.era == records.version().era;
-        if (records.isAheadOf(known) && (sameEra || !members_.isLarge()))
-            report.copies.push_back(records.copyFor(known));
+        if (records.isAheadOf(known) && (sameEra || !members_.isLarge())) {
+            if (GroupCopy copy = records.copyFor(known); admitsCopy(vm, copy, true))
+                report.copies.push_back(std::move(copy));
+        }
     }
-    const TimePoint sentAt = context_.clock.now();
+    const SentRequest request{context_.clock.now(), records.version().era,
+                              members_.isLarge() && acceptsCopiesFrom(vm, context_.clock.now()),
+                              std::move(round)};
+    report.declinesCopies = members_.isLarge() && !request.acceptsCopies;
+    state.askedAt = request.at;
+    const Milliseconds timeout = members_.isLarge() ? pacing_.timeout() : exchangeTimeout;
+    const auto overdue = std::make_shared<bool>(false);
     context_.peers.exchange(
-        address, report, report.wantsEra ? eraFetchTimeout : exchangeTimeout,
-        [this, alive = context_.alive, vm, sentAt, sentEra = records.version().era,
-         wantedEra = report.wantsEra, round](const auto &outcome) {
+        address, report, report.wantsEra ? std::max(timeout, eraFetchTimeout) : timeout,
+        [this, alive = context_.alive, vm, request, wantedEra = report.wantsEra,
+         overdue](const auto &outcome) {
             if (!*alive)
                 return;
-            fetchingEra_ = fetchingEra_ && !wantedEra;
             const auto *answer = std::get_if<PeerReport>(&outcome);
+            const bool late = *overdue;
+            if (late && !members_.isLarge())
+                return;
+            noteExchangeEnd(late     ? ExchangeEnd::Late
+                            : answer ? ExchangeEnd::InTime
+                                     : ExchangeEnd::GivenUp);
+            if (!late)
+                fetchingEra_ = fetchingEra_ && !wantedEra;
             if (const auto known = peerStates_.find(vm); known != peerStates_.end()) {
-                known->second.exchanging = false;
-                known->second.failures = answer ? 0 : known->second.failures + 1;
+                known->second.exchanging = known->second.exchanging && late;
+                // A peer that answers late only is no better a collector than one that is lost.
+                if (!late)
+                    known->second.failures = answer ? 0 : known->second.failures + 1;
             }
-            if (!answer)
-                return;
-            takeReport(*answer, sentAt, true);
-            const ReplicaState &peerRecords = answer->replicas.at(recordsIndex);
-            const GroupReplica &ownRecords = context_.records().replica();
-            // The answer holds what the peer carries and this daemon did not when it asked.
-            if (const auto known = peerStates_.find(vm); known != peerStates_.end()
-                                                         && peerRecords.content.era == sentEra
-                                                         && ownRecords.version().era == sentEra)
-                known->second.mergedEra = sentEra;
-            hooks_.reportReceived();
-            // A promise counts only if this daemon knows every announcement that the peer knows.
-            if (round && answer->promise && ownRecords.covers(peerRecords))
-                countPromise(*round);
+            *overdue = !answer;
+            if (answer)
+                handleAnswer(vm, *answer, request, late);
         });
 }
 
+void FleetPeers::handleAnswer(const VmId &vm, const PeerReport &answer, const SentRequest &request,
+                              bool late)
+{
+    takeReport(answer, request.at, true);
+    if (request.acceptsCopies && !late)
+        pacing_.noteCopiesAnswered(holdsNewer(answer));
+    const ReplicaState &peerRecords = answer.replicas.at(recordsIndex);
+    const GroupReplica &ownRecords = context_.records().replica();
+    const bool complete =
+        !members_.isLarge() || peerRecords.carried == 0
+        || peerRecords.carried == ownRecords.state().carried
+        || std::any_of(answer.copies.begin(), answer.copies.end(),
+                       [](const GroupCopy &copy) { return copy.group == ObjectGroup::Records; });
+    // The answer holds what the peer carries and this daemon did not when it asked, unless the copy
+    // was withheld.
+    if (const auto known = peerStates_.find(vm); complete && known != peerStates_.end()
+                                                 && peerRecords.content.era == request.era
+                                                 && ownRecords.version().era == request.era)
+        known->second.mergedEra = request.era;
+    hooks_.reportReceived();
+    // A promise counts only if this daemon knows every announcement that the peer knows.
+    if (request.round && answer.promise && ownRecords.covers(peerRecords))
+        countPromise(*request.round);
+}
+
 bool FleetPeers::hasMerged(const VmId &vm) const
 {
     const auto state = peerStates_.find(vm);
@@ -437,8 +391,13 @@
     context_.applyCopies(report.copies);
     if (report.vm != context_.settings.vm && members_.contains(report.vm)) {
         PeerState &state = peerStates_[report.vm];
-        state.report = report; // sliced: the copies are not kept
-        state.receivedAt = context_.clock.now();
+        // A report that came late may be older than the one that is held.
+        const TimePoint now = context_.clock.now();
+        const TimePoint at = members_.isLarge() && now - sentAt > exchangeTimeout ? sentAt : now;
+        if (at >= state.receivedAt || !state.report) {
+            state.report = report; // sliced: the copies are not kept
+            state.receivedAt = at;
+        }
     }
     for (const PrimaryReport &primary : report.primaries) {
         if (answer && primary.position) {
@@ -484,7 +443,7 @@
     takeReport(report, context_.clock.now(), false);
     probeFailingPrimaries(report);
     PeerReport answer = makeReport();
-    answer.copies = context_.copiesFor(report, members_.isLarge());
+    answer.copies = copiesFor(report);
     const TimePoint now = context_.clock.now();
     if (report.promise && mayPromise(now)) {
         answer.promise = true;
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_TAKEOVER_FLEET_PEERS_H
 #define PISTACHIOWOOD_TAKEOVER_FLEET_PEERS_H
 
+#include "takeover/exchange_pacing.h"
 #include "takeover/fleet_context.h"
 #include "takeover/fleet_members.h"
 #include "takeover/primary_permission.h"
@@ -88,6 +89,7 @@
         std::optional<PeerStatus> report;
         TimePoint receivedAt; ///< when the report, or else the member's record, was received
         bool exchanging = false; ///< an exchange with the peer is in progress
+        TimePoint askedAt{}; ///< when the last exchange was started
         unsigned failures = 0; ///< exchanges in a row without an answer
         bool removing = false; ///< a change that removes the member record is in progress
         StoreEra mergedEra; ///< era in which this daemon took over the peer's records
@@ -111,6 +113,15 @@
         std::size_t promised = 0;
     };
 
+    /// What this daemon remembers of a request until it is answered.
+    struct SentRequest
+    {
+        TimePoint at;
+        StoreEra era; ///< of this daemon's records
+        bool acceptsCopies = false;
+        std::shared_ptr<PromiseRound> round;
+    };
+
     void renewPermission(TimePoint at);
     void noteStoreConfirmation(TimePoint at);
     bool hasMerged(const VmId &vm) const;
@@ -137,6 +148,18 @@
                       std::shared_ptr<PromiseRound> round);
     void countPromise(PromiseRound &round);
     PeerReport makeReport() const;
+    void handleAnswer(const VmId &vm, const PeerReport &answer, const SentRequest &request,
+                      bool late);
+    bool isOfRegion(const VmId &vm) const;
+    bool isRegionConfirmer(const VmId &vm) const;
+    void preferRegion(std::vector<VmId> &vms) const;
+    bool holdsNewer(const PeerStatus &peer) const;
+    ExchangePacing::Holders knownHolders() const;
+    bool acceptsCopiesFrom(const VmId &vm, TimePoint now);
+    bool admitsCopy(const VmId &vm, const GroupCopy &copy, bool declined);
+    std::vector<GroupCopy> copiesFor(const PeerReport &peer);
+    void noteExchangeEnd(ExchangeEnd end);
+    VmId chooseOther(TimePoint now);
     bool isOfLaterEra(const PeerStatus &peer) const;
     void fetchLaterEra(TimePoint now);
     void takeReport(const PeerReport &report, TimePoint sentAt, bool answer);
@@ -147,6 +170,9 @@
     FleetContext &context_;
     Hooks hooks_;
     FleetMembers members_;
+    ExchangePacing pacing_; ///< applies to large fleets only
+    ExchangePacing::Holders holders_; ///< as of holdersAt_
+    TimePoint holdersAt_{};
     Confirmation confirmation_;
     bool registering_ = false;
     TimePoint nextRegistration_{}; ///< earliest time of the next attempt
--- a/src/takeover/fleet_peers_store.cpp
+++ b/src/takeover/fleet_peers_store.cpp
@@ -33,6 +33,9 @@
 constexpr Milliseconds storeQueryIntervalPerMember{100};
 // Upper limit, per other member, of the delay before one daemon repeats a failed call to the store.
 constexpr Milliseconds maxRetryDelayPerMember{100};
+// Upper limit, per other member, of the delay before a daemon lists again after the store has
+// dropped its history: 100 lists a second, of at most 16 KB in most deployments.
+constexpr Milliseconds listDelayPerMember{10};
 // A VM that has sent no report for this long, and that fails memberLossFailureLimit exchanges, is
 // removed from the member records by one of the first lostMemberCheckerCount daemons of its region.
 constexpr Milliseconds memberLossTimeout{4000};
@@ -55,6 +58,12 @@
     if (members_.isLarge() && !active)
         context_.feed(ObjectGroup::Configuration)
             .setMaxRetryDelay(maxRetryDelayPerMember * members_.otherCount());
+    // Records are listed at once: without them, the store's answers renew no permission.
+    Milliseconds listDelay{0};
+    if (members_.isLarge() && !members_.isConfirmer())
+        listDelay = listDelayPerMember * members_.otherCount();
+    context_.feed(ObjectGroup::Configuration).setListDelay(listDelay);
+    context_.feed(ObjectGroup::Endpoints).setListDelay(listDelay);
     context_.feed(ObjectGroup::Endpoints).setWatching(watching);
     context_.records().setWatching(watching);
 }
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -54,6 +54,8 @@
     /// These groups shall leave out no object.
     bool wantsWhole = false;
     bool wantsConfiguration = false; ///< the answer shall hold it even if it is large
+    /// Apart from these, the answer shall hold small copies only.
+    bool declinesCopies = false;
     std::vector<GroupCopy> copies;
 };
 
@@ -61,6 +63,8 @@
 class PeerChannel
 {
 public:
+    /// Runs with an error once the timeout has passed, and again with the answer if it still
+    /// arrives.
     using Callback = std::function<void(std::variant<PeerReport, Error>)>;
 
     virtual ~PeerChannel() = default;
