Bound what clients make a process hold

A session is handed one statement at a time, what is sent ahead stays in TCP. Session state is bounded in bytes. Acceptors pause when descriptors run out instead of spinning. Output is sent without moving the rest each time.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -21,7 +21,11 @@
     EVENT(ListenFailed, 1100, Error, "cannot listen on address")                                           \
     EVENT(TaskFailed, 1101, Error, "unexpected error in a task or a connection, which was ended")          \
     EVENT(AcceptFailed, 1102, Warning, "connection of a peer could not be accepted; trying again")         \
+    EVENT(AcceptPaused, 1103, Warning, "no descriptor or memory is free; accepting pauses")                \
+    EVENT(ClientPressure, 1104, Warning, "clients hold more than three quarters of their memory")          \
+    EVENT(ClientsCounted, 1105, Warning, "clients refused and closed by reason")                           \
     EVENT(StatementFailed, 1200, Debug, "statement failed")                                                \
+    EVENT(ClientClosed, 1201, Info, "client closed or refused because of a limit")                         \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -8,13 +8,33 @@
 
 constexpr std::size_t maxQueuedStatements = 64; // queued statements of one session
 constexpr std::size_t maxSessionEntries = 256; // session variables, and prepared statements
+constexpr std::size_t entryOverheadBytes = 128; // of a map entry and its strings
+// A running statement is held by the session, encoded for the endpoint, and in the output to it.
+constexpr std::size_t statementCopies = 3;
+
+std::size_t entryBytes(const std::string &name, const std::string &value)
+{
+    return name.size() + value.size() + entryOverheadBytes;
+}
+
+std::size_t entryBytes(const std::string &name, const PreparedStatement &value)
+{
+    return entryBytes(name, value.definition);
+}
+
+std::size_t statementBytes(const SessionStatement &statement)
+{
+    return statement.text.size() + statement.arguments.size() + entryOverheadBytes;
+}
 
 } // namespace
 
-CallerSession::CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route)
+CallerSession::CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route,
+                             std::size_t maxStateBytes)
     : context_(context)
     , channel_(channel)
     , route_(std::move(route))
+    , maxStateBytes_(maxStateBytes)
 {
 }
 
@@ -93,7 +113,10 @@
                "too many prepared statements");
         return;
     case Verb::Deallocate:
-        prepared_.erase(statement.name);
+        if (const auto found = prepared_.find(statement.name); found != prepared_.end()) {
+            stateBytes_ -= entryBytes(found->first, found->second);
+            prepared_.erase(found);
+        }
         replyLocally(std::nullopt, {});
         return;
     default:
@@ -109,14 +132,28 @@
 void CallerSession::define(std::map<std::string, Value> &entries, const std::string &name,
                            Value value, const std::string &refusal)
 {
-    if (entries.size() >= maxSessionEntries && entries.count(name) == 0) {
+    const auto found = entries.find(name);
+    const std::size_t replaced = found == entries.end() ? 0 : entryBytes(name, found->second);
+    const std::size_t bytes = stateBytes_ - replaced + entryBytes(name, value);
+    if ((entries.size() >= maxSessionEntries && found == entries.end()) || bytes > maxStateBytes_) {
         replyLocally(ReplyCode::TooLarge, refusal);
         return;
     }
+    stateBytes_ = bytes;
     entries[name] = std::move(value);
     replyLocally(std::nullopt, {});
 }
 
+std::size_t CallerSession::heldBytes() const
+{
+    std::size_t bytes = stateBytes_;
+    for (const SessionStatement &statement : queuedStatements_)
+        bytes += statementBytes(statement);
+    if (execution_)
+        bytes += statementBytes(execution_->statement) * statementCopies;
+    return bytes;
+}
+
 bool CallerSession::refreshRoute()
 {
     const auto found = context_.view().routes.find(route_.database);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -29,10 +29,15 @@
 class CallerSession final : public ConnectionUser
 {
 public:
-    CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route);
+    CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route,
+                  std::size_t maxStateBytes);
     ~CallerSession() override;
 
     void handleStatement(SessionStatement statement);
+    /// Whether a statement runs or waits for an endpoint.
+    bool isBusy() const { return execution_.has_value(); }
+    /// Memory that statements, variables and prepared statements take, with copies on their way.
+    std::size_t heldBytes() const;
     /// Resumes a statement that waits for an endpoint or for the permission to use the primary.
     void handleViewChanged();
     /// Aborts a transaction that exceeds the idle timeout.
@@ -126,6 +131,8 @@
     DatabaseRoute route_;
     SessionVariables variables_;
     std::map<std::string, PreparedStatement> prepared_;
+    std::size_t maxStateBytes_; ///< of variables_ and prepared_
+    std::size_t stateBytes_ = 0;
     std::optional<Transaction> transaction_;
     bool transactionFailed_ = false; ///< until the caller ends it by a commit or rollback
     bool draining_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -291,7 +291,8 @@
         return std::nullopt;
     const SessionId id = ++lastSession_;
     GatewayContext &context = *this;
-    auto session = std::make_unique<CallerSession>(context, channel, route->second);
+    auto session =
+        std::make_unique<CallerSession>(context, channel, route->second, maxSessionStateBytes_);
     if (draining_)
         session->closeWhenIdle();
     sessions_.emplace(id, std::move(session));
@@ -305,6 +306,18 @@
     }
 }
 
+bool Gateway::isBusy(SessionId session) const
+{
+    const auto found = sessions_.find(session);
+    return found != sessions_.end() && found->second->isBusy();
+}
+
+std::size_t Gateway::heldBytes(SessionId session) const
+{
+    const auto found = sessions_.find(session);
+    return found == sessions_.end() ? 0 : found->second->heldBytes();
+}
+
 void Gateway::closeSession(SessionId session)
 {
     sessions_.erase(session);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/position_wait.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -57,6 +58,12 @@
     std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
     void handleStatement(SessionId session, SessionStatement statement);
     void closeSession(SessionId session);
+    /// Whether the session runs a statement; further ones are best kept until it has replied.
+    bool isBusy(SessionId session) const;
+    /// Memory that the session holds for its caller.
+    std::size_t heldBytes(SessionId session) const;
+    /// Bounds the variables and prepared statements of each session that is opened later.
+    void setMaxSessionStateBytes(std::size_t bytes) { maxSessionStateBytes_ = bytes; }
 
     /// Sends a Status or Demote statement. The callback receives nullopt if no valid reply arrives
     /// before the timeout.
@@ -116,6 +123,7 @@
     std::map<std::uint64_t, std::unique_ptr<StatusQuery>> queries_;
     std::map<EndpointId, TimePoint> lastProbe_;
     SessionId lastSession_ = 0;
+    std::size_t maxSessionStateBytes_ = std::numeric_limits<std::size_t>::max();
     std::uint64_t lastQuery_ = 0;
     bool draining_ = false;
     bool probing_ = true;
--- a/src/gateway/session_setup.cpp
+++ b/src/gateway/session_setup.cpp
@@ -9,6 +9,16 @@
 // Limit of prepared statements per connection, because an endpoint keeps them in memory. At the
 // limit the connection is reset, which clears them.
 constexpr std::size_t maxPreparedPerConnection = 128;
+// The same in bytes; one message of 1 MiB fits beside as much of others.
+constexpr std::size_t maxPreparedBytesPerConnection = std::size_t{2} * 1024 * 1024;
+
+bool hasTooManyPrepared(const std::vector<PreparedStatement> &prepared)
+{
+    std::size_t bytes = 0;
+    for (const PreparedStatement &statement : prepared)
+        bytes += statement.definition.size();
+    return prepared.size() >= maxPreparedPerConnection || bytes > maxPreparedBytesPerConnection;
+}
 
 bool needsReset(const EndpointSessionState &current, const SessionVariables &variables)
 {
@@ -30,8 +40,8 @@
 {
     SessionSetup plan;
     plan.result = current;
-    const bool tooManyPrepared = current.prepared.size() >= maxPreparedPerConnection;
-    if (!inTransaction && (needsReset(current, variables) || tooManyPrepared)) {
+    if (!inTransaction
+        && (needsReset(current, variables) || hasTooManyPrepared(current.prepared))) {
         plan.statements.push_back({.verb = Verb::Reset});
         plan.result = {};
     }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -55,6 +55,8 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 1024 * 1024;
     std::size_t maxConnections = 8192;
+    /// At maxConnections, close the oldest connection that waits for no response, not the new one.
+    bool closeOldestIdle = false;
     Milliseconds requestReadTimeout{10000}; ///< from the first byte of a request to its last
     Milliseconds idleTimeout{600000}; ///< between requests
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,12 +42,14 @@
         , limits(httpLimits)
         , handler(std::move(requestHandler))
         , counter(byteCounter)
+        , acceptRetry(eventLoop)
     {
     }
 
     ACE_HANDLE get_handle() const override { return acceptor.get_handle(); }
     int handle_input(ACE_HANDLE) override;
     void stopListening();
+    bool closeOldestIdle();
     void remove(std::uint64_t id);
 
     EventLoop &loop;
@@ -56,6 +58,7 @@
     ByteCounter *counter;
     CloseHandler closeHandler;
     ACE_SOCK_Acceptor acceptor;
+    AcceptRetry acceptRetry;
     std::uint16_t port = 0;
     bool draining = false;
     std::uint64_t lastConnection = 0;
@@ -78,6 +81,8 @@
     ~ServerConnection() override { stream_.close(); }
 
     ACE_HANDLE get_handle() const override { return stream_.get_handle(); }
+    std::uint64_t id() const { return id_; }
+    bool handling() const { return handling_; }
 
     bool open()
     {
@@ -254,9 +259,12 @@
 {
     ACE_SOCK_Stream stream;
     ACE_Time_Value zeroTimeout = ACE_Time_Value::zero;
-    if (acceptor.accept(stream, nullptr, &zeroTimeout) != 0)
+    if (acceptor.accept(stream, nullptr, &zeroTimeout) != 0) {
+        acceptRetry.handleFailure(*this, errno);
         return 0;
-    if (connections.size() >= limits.maxConnections) {
+    }
+    if (connections.size() >= limits.maxConnections
+        && !(limits.closeOldestIdle && closeOldestIdle())) {
         const auto refusal = encodeResponse(
             {503, errorBody({ErrorCode::Unavailable, "too many connections"})}, false);
         stream.send(refusal.data(), refusal.size());
@@ -271,10 +279,24 @@
     return 0;
 }
 
+// Returns false if every connection waits for a response.
+bool HttpServer::Private::closeOldestIdle()
+{
+    std::shared_ptr<ServerConnection> oldest;
+    for (const auto &[id, connection] : connections) {
+        if (!connection->handling() && (!oldest || id < oldest->id()))
+            oldest = connection;
+    }
+    if (oldest)
+        oldest->close();
+    return oldest != nullptr;
+}
+
 void HttpServer::Private::stopListening()
 {
     if (acceptor.get_handle() == ACE_INVALID_HANDLE)
         return;
+    acceptRetry.cancel();
     loop.reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
     acceptor.close();
 }
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -1,8 +1,11 @@
 #include "net/sockets.h"
 
 #include "base/address.h"
+#include "base/log.h"
 
+#include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
@@ -11,6 +14,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace pistachiowood {
 
@@ -19,6 +23,9 @@
 constexpr int listenBacklog = 1024;
 // The kernel closes a connection after this many unanswered keep-alive probes.
 constexpr int maxUnansweredKeepAliveProbes = 2;
+// Pause of accepting while no descriptor or memory is free.
+constexpr Milliseconds acceptPause{100};
+constexpr Milliseconds acceptLogInterval{1000}; // at most one event of a paused acceptor in it
 
 } // namespace
 
@@ -39,6 +46,28 @@
     stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
 }
 
+void AcceptRetry::handleFailure(ACE_Event_Handler &acceptor, int error)
+{
+    if (error != EMFILE && error != ENFILE && error != ENOBUFS && error != ENOMEM)
+        return; // the connection is gone again, or none waits
+    if (const TimePoint now = clock_.now(); now >= nextLog_) {
+        nextLog_ = now + acceptLogInterval;
+        logEvent(Event::AcceptPaused, {{"reason", std::strerror(error)}});
+    }
+    cancel();
+    loop_.reactor()->remove_handler(&acceptor,
+                                    ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    timer_ = loop_.startTimer(acceptPause, [this, &acceptor] {
+        timer_ = 0;
+        loop_.reactor()->register_handler(&acceptor, ACE_Event_Handler::ACCEPT_MASK);
+    });
+}
+
+void AcceptRetry::cancel()
+{
+    loop_.cancelTimer(std::exchange(timer_, 0));
+}
+
 Result<std::uint16_t> openAcceptor(ACE_SOCK_Acceptor &acceptor, const SocketAddress &address)
 {
     ACE_INET_Addr local;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 16 * 1024;
+// Output memory that a stream keeps while nothing waits.
+constexpr std::size_t maxIdleOutputBytes = 32 * 1024;
 
 } // namespace
 
@@ -80,7 +82,7 @@
 
     int handle_output(ACE_HANDLE) override
     {
-        handleEvent(&Private::writeOutput);
+        handleEvent(&Private::writeWaitingOutput);
         return 0;
     }
 
@@ -150,7 +152,7 @@
         if (state == State::Closed)
             return;
         output.append(bytes);
-        if (output.size() > options.maxOutputBytes) {
+        if (unsentBytes() > options.maxOutputBytes) {
             postFailure("the peer does not read");
             return;
         }
@@ -158,18 +160,26 @@
             writeOutput();
     }
 
+    void writeWaitingOutput()
+    {
+        writeOutput();
+        if (state == State::Open && listener)
+            listener->handleStreamOutputSent();
+    }
+
     void writeOutput()
     {
-        while (!output.empty()) {
-            const ssize_t count = stream.send(output.data(), output.size());
+        while (unsentBytes() > 0) {
+            const ssize_t count = stream.send(output.data() + outputSent, unsentBytes());
             if (count > 0) {
                 sentBytes += static_cast<std::uint64_t>(count);
                 if (counter) {
                     counter->sent += static_cast<std::uint64_t>(count);
                     ++counter->messages;
                 }
-                output.erase(0, static_cast<std::size_t>(count));
+                outputSent += static_cast<std::size_t>(count);
             } else if (errno == EWOULDBLOCK || errno == EINTR) {
+                discardSentOutput();
                 if (!std::exchange(writing, true))
                     loop.reactor()->register_handler(this, WRITE_MASK);
                 return;
@@ -178,12 +188,51 @@
                 return;
             }
         }
+        discardSentOutput();
         if (std::exchange(writing, false))
             loop.reactor()->remove_handler(this, WRITE_MASK | DONT_CALL);
-        if (closing)
+        if (closing && listener)
+            postFailure("closed after the output");
+        else if (closing)
             close();
     }
 
+    std::size_t unsentBytes() const { return output.size() - outputSent; }
+
+    // Moves the rest only when more was sent than is left, so that a large output is moved a
+    // limited number of times; returns the memory of a large output.
+    void discardSentOutput()
+    {
+        if (outputSent < unsentBytes())
+            return;
+        output.erase(0, outputSent);
+        outputSent = 0;
+        if (output.capacity() > maxIdleOutputBytes && output.size() < output.capacity() / 2)
+            output.shrink_to_fit();
+    }
+
+    void pauseReading()
+    {
+        if (state == State::Open && !std::exchange(paused, true))
+            loop.reactor()->remove_handler(this, READ_MASK | DONT_CALL);
+    }
+
+    void resumeReading()
+    {
+        if (state != State::Open || !std::exchange(paused, false))
+            return;
+        if (loop.reactor()->register_handler(this, READ_MASK) != 0) {
+            postFailure("the connection could not be registered");
+            return;
+        }
+        if (!input.empty())
+            loop.post([weak = weak_from_this()] {
+                const auto self = weak.lock();
+                if (self && self->state == State::Open && self->listener && !self->paused)
+                    self->listener->handleStreamInput(self->input);
+            });
+    }
+
     void close()
     {
         if (state == State::Closed)
@@ -225,10 +274,12 @@
     State state = State::Connecting;
     bool writing = false;
     bool closing = false;
+    bool paused = false;
     TimerId connectTimer = 0;
     std::uint64_t sentBytes = 0;
     std::string input;
     std::string output;
+    std::size_t outputSent = 0; ///< bytes at the front of the output that were sent
 };
 
 Stream::Stream(EventLoop &loop, const SocketAddress &peer, StreamOptions options,
@@ -246,7 +297,7 @@
 Stream::~Stream()
 {
     private_->listener = nullptr;
-    if (!private_->closing || private_->output.empty()) {
+    if (!private_->closing || private_->unsentBytes() == 0) {
         private_->close();
     } else if (private_->state == Private::State::Open) {
         // The timer keeps this object alive while the reactor sends the rest of the output.
@@ -264,10 +315,49 @@
 {
     private_->listener = nullptr;
     private_->closing = true;
-    if (private_->output.empty())
+    if (private_->unsentBytes() == 0)
         private_->close();
 }
 
+void Stream::finishOutput()
+{
+    private_->closing = true;
+    private_->pauseReading();
+    const auto timeout =
+        private_->unsentBytes() == 0 ? Milliseconds(0) : private_->options.peerTimeout;
+    private_->loop.startTimer(timeout, [weak = std::weak_ptr(private_)] {
+        if (const auto stream = weak.lock())
+            stream->fail("the output was sent, or the peer does not read");
+    });
+}
+
+void Stream::abort()
+{
+    private_->listener = nullptr;
+    private_->closing = false;
+    private_->close();
+}
+
+void Stream::pauseReading()
+{
+    private_->pauseReading();
+}
+
+void Stream::resumeReading()
+{
+    private_->resumeReading();
+}
+
+std::size_t Stream::unsentBytes() const
+{
+    return private_->unsentBytes();
+}
+
+std::size_t Stream::heldBytes() const
+{
+    return private_->input.capacity() + private_->output.capacity();
+}
+
 std::uint64_t Stream::sentBytes() const
 {
     return private_->sentBytes;
@@ -292,6 +382,7 @@
         , options(streamOptions)
         , handler(std::move(acceptHandler))
         , counter(byteCounter)
+        , acceptRetry(eventLoop)
     {
     }
 
@@ -300,7 +391,9 @@
     int handle_input(ACE_HANDLE) override
     {
         ACE_SOCK_Stream stream;
-        if (acceptor.accept(stream) == 0) {
+        if (acceptor.accept(stream) != 0) {
+            acceptRetry.handleFailure(*this, errno);
+        } else {
             accepted = stream;
             handler(*this);
             if (accepted.get_handle() != ACE_INVALID_HANDLE)
@@ -324,6 +417,7 @@
     ByteCounter *counter;
     ACE_SOCK_Acceptor acceptor;
     ACE_SOCK_Stream accepted;
+    AcceptRetry acceptRetry;
     std::uint16_t port = 0;
     bool listening = false;
 };
@@ -356,6 +450,7 @@
 {
     if (!std::exchange(private_->listening, false))
         return;
+    private_->acceptRetry.cancel();
     private_->loop.reactor()->remove_handler(private_.get(), ACE_Event_Handler::ACCEPT_MASK
                                                                  | ACE_Event_Handler::DONT_CALL);
     private_->acceptor.close();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -31,6 +31,8 @@
     /// The input holds all received bytes that the listener has not removed yet; the listener
     /// removes what it consumes.
     virtual void handleStreamInput(std::string &input) = 0;
+    /// Called after a part of the output that had to wait was sent.
+    virtual void handleStreamOutputSent() {}
     /// Called last, when the peer or a failure has closed the stream.
     virtual void handleStreamClosed(const StreamClosure &closure) = 0;
 };
@@ -58,6 +60,20 @@
     void send(std::string_view bytes);
     /// Closes the stream once its output has been sent, without an event.
     void closeAfterOutput();
+    /// Reads no more and closes the stream, with an event, once its output has been sent or the
+    /// peer timeout is over.
+    void finishOutput();
+    /// Closes the stream at once, without an event.
+    void abort();
+    /// Leaves further input to the operating system, which makes the peer wait, until
+    /// resumeReading(). The closing of the peer is not noticed meanwhile unless output waits.
+    void pauseReading();
+    /// Reads again; input that the listener has not removed is passed to it again.
+    void resumeReading();
+    /// Output that was not passed to the operating system yet.
+    std::size_t unsentBytes() const;
+    /// Memory that input and output take.
+    std::size_t heldBytes() const;
     bool isOpen() const;
     /// Whether bytes have arrived that were not passed to the listener yet.
     bool hasUnreadInput() const;
