--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -92,6 +92,7 @@
     std::set<EndpointId> silentDials; ///< endpoints that do not answer handshakes
     std::size_t maxConnections = 1000; ///< of each endpoint; more are refused
     std::map<EndpointId, std::uint64_t> positions;
+    std::vector<std::string> rows; ///< of the answer to a read
     std::vector<Sent> sent;
     std::size_t dials = 0;
 
@@ -150,6 +151,8 @@
             if (connection.phase == SessionPhase::InTransaction)
                 connection.phase = SessionPhase::Failed;
         } else if (runs) {
+            if (statement.verb == Verb::Read)
+                reply.rows = rows;
             reply.signature = "signed-" + connection.endpoint.value();
         }
         if (statement.verb == Verb::Commit || statement.verb == Verb::Rollback)
