--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -37,10 +37,14 @@
 {
 public:
     CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route,
-                  SessionCredentials credentials = {});
+                  std::size_t maxStateBytes, SessionCredentials credentials = {});
     ~CallerSession() override;
 
     void handleStatement(SessionStatement statement);
+    /// Whether a statement runs or waits for an endpoint.
+    bool isBusy() const { return execution_.has_value(); }
+    /// Memory that statements, variables and prepared statements take, with copies on their way.
+    std::size_t heldBytes() const;
     /// Resumes a statement that waits for an endpoint or for the permission to use the primary.
     void handleViewChanged();
     /// Ends the session if the view no longer entitles it: its key is withdrawn or belongs to
@@ -143,6 +147,8 @@
     std::string key_; ///< of the customer; a secret
     SessionVariables variables_;
     std::map<std::string, PreparedStatement> prepared_;
+    std::size_t maxStateBytes_; ///< of variables_ and prepared_
+    std::size_t stateBytes_ = 0;
     std::optional<Transaction> transaction_;
     bool transactionFailed_ = false; ///< until the caller ends it by a commit or rollback
     bool draining_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -308,8 +308,8 @@
     }
     const SessionId id = ++lastSession_;
     GatewayContext &context = *this;
-    auto session =
-        std::make_unique<CallerSession>(context, channel, route->second, std::move(credentials));
+    auto session = std::make_unique<CallerSession>(context, channel, route->second,
+                                                   maxSessionStateBytes_, std::move(credentials));
     if (draining_)
         session->closeWhenIdle();
     sessions_.emplace(id, std::move(session));
@@ -332,6 +332,18 @@
     }
 }
 
+bool Gateway::isBusy(SessionId session) const
+{
+    const auto found = sessions_.find(session);
+    return found != sessions_.end() && found->second->isBusy();
+}
+
+std::size_t Gateway::heldBytes(SessionId session) const
+{
+    const auto found = sessions_.find(session);
+    return found == sessions_.end() ? 0 : found->second->heldBytes();
+}
+
 void Gateway::closeSession(SessionId session)
 {
     sessions_.erase(session);
