Let each promotion of the fake platform begin the next term

The second promotion of a service seemed to have no effect, and the endpoint was not published in time. The platform makes a promoted endpoint the primary of the next term.

Change: the fake counts terms. The test's checks are unchanged; it passes again.

--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -246,6 +246,8 @@
                  std::function<void(PromotionOutcome)> callback) override
     {
         promotions.emplace_back(endpoint, fencingToken);
+        if (leader != endpoint)
+            ++leaderTerm;
         leader = endpoint;
         loop.post([callback] { callback(PromotionOutcome::Accepted); });
     }
@@ -267,7 +269,7 @@
         if (statement.verb == Verb::Demote && leader == endpoint)
             leader.reset();
         const bool leads = leader == endpoint;
-        const Term term(promotions.empty() || !leads ? 1 : 2);
+        const Term term(leads ? leaderTerm : 1);
         loop.post([callback, leads, term] {
             callback(ReplicationStatus{leads, term, {Term(1), LogPosition(4)}});
         });
@@ -282,6 +284,7 @@
     StoreEra peerConfirmedEra;
     bool peerConfirms = false; ///< answers carry a confirmation of age 0
     std::optional<EndpointId> leader{EndpointId("p")};
+    std::uint64_t leaderTerm = 1; ///< each promotion of another endpoint begins the next term
     std::vector<std::pair<EndpointId, std::uint64_t>> promotions;
     std::shared_ptr<const DeploymentView> view;
     TimePoint permittedUntil{};
