Do not count a started process for a majority before its records are confirmed

Cause: a member that acknowledged an announcement, was killed and came back on the other side of a partition without having seen it still counted for the half that acknowledged, while its promise counted for the majority that renews permissions for the old primary there. The replacing daemon cannot tell: it hears nothing of the new process.

Change: the new process and its peers see to it. A process tells the age of the store's confirmation only once the store has confirmed the records since the process was started, directly or through a peer; they then hold every announcement that its former process acknowledged. A majority of promises counts only such processes, this daemon included. Promises of all members count as before, so a restart during an outage of the store takes no primary away.

Test: FleetControl.promisesOfStartedProcessesRenewThePermissionAsAMajority fails when the majority counts every promise and passes now. The fake peers state a confirmation that is too old to confirm anything, as running peers do.

--- a/src/takeover/fleet_control_test.cpp
+++ b/src/takeover/fleet_control_test.cpp
@@ -233,6 +233,10 @@
             if (peerConfirms)
                 answer.confirmedAge = Milliseconds(0);
             answer.promise = report.promise && peerPromises;
+            // The store confirmed the records of a peer that was not started lately; too long ago
+            // to confirm those of this daemon.
+            if (!peersJustStarted)
+                answer.storeConfirmedAge = 60s;
             answer.confirmedEra = peerConfirmedEra;
             StoreVersion &configuration = answer.replicas.at(0).content;
             configuration = std::max(configuration, peerConfigurationVersion);
@@ -278,6 +282,7 @@
     EventLoop &loop;
     bool peerAnswers = true;
     bool peerPromises = true;
+    bool peersJustStarted = false; ///< the store has confirmed no records to their processes
     std::set<std::string> unreachablePeers;
     StoreVersion peerConfigurationVersion; ///< newest one that peers hold
     unsigned configurationRequests = 0; ///< exchanges with wantsConfiguration
@@ -586,6 +591,24 @@
     CHECK_TRUE(environment.permittedUntil < clock.now());
 }
 
+// Guards against a primary used on two sides of a partition: a member that acknowledged an
+// announcement on the other side was killed and started on this one without having seen it, and its
+// promise made most of the daemons.
+TEST(FleetControl, promisesOfStartedProcessesRenewThePermissionAsAMajority)
+{
+    addPeers(4);
+    start(true);
+    runFor(1500ms);
+    environment.peersJustStarted = true;
+    environment.unreachablePeers.insert("peer");
+    store.down = true;
+    runFor(4000ms);
+    CHECK_TRUE(environment.permittedUntil < clock.now());
+    environment.unreachablePeers.clear();
+    runFor(1500ms);
+    CHECK_TRUE(environment.permittedUntil > clock.now()); // all members promise
+}
+
 // Guards against a permission that is renewed by promises of less than a majority.
 TEST(FleetControl, promisesOfHalfOfTheDaemonsDoNotRenewThePermission)
 {
--- a/src/takeover/fleet_peers.cpp
+++ b/src/takeover/fleet_peers.cpp
@@ -46,6 +46,7 @@
     : context_(context)
     , hooks_(std::move(hooks))
     , members_(context.settings)
+    , createdAt_(context.clock.now())
 {
 }
 
@@ -348,7 +349,7 @@
             hooks_.reportReceived();
             // A promise counts only if this daemon knows every announcement that the peer knows.
             if (round && answer->promise && ownRecords.covers(peerRecords))
-                countPromise(*round);
+                countPromise(*round, answer->storeConfirmedAge.has_value());
         });
 }
 
@@ -399,12 +400,17 @@
 // replacement during the lifetime of the permission. If a majority has, a replacement can't get the
 // acknowledgements of half of the daemons, but it waits only longestLifetime for them; such
 // renewals therefore end a fixed time after the store's last answer.
-void FleetPeers::countPromise(PromiseRound &round)
+//
+// A process may have been started after its former one acknowledged an announcement. To count for
+// the majority as well as for that half, it must know the announcement: the store must have
+// confirmed its records since.
+void FleetPeers::countPromise(PromiseRound &round, bool confirmed)
 {
     const TimePoint now = context_.clock.now();
     ++round.promised;
+    round.confirmed += confirmed ? 1 : 0;
     const bool all = round.promised == round.asked;
-    const bool majority = 2 * (round.promised + 1) > round.asked + 1;
+    const bool majority = confirmedSinceStart() && 2 * (round.confirmed + 1) > round.asked + 1;
     const bool recent =
         storeConfirmedAt_
         && round.startedAt <= *storeConfirmedAt_ + PrimaryPermission::majorityRenewalLimit;
@@ -424,7 +430,7 @@
     report.appliedRecords = appliedRecords_;
     if (const auto confirmed = permission_.confirmedAt())
         report.confirmedAge = std::chrono::ceil<Milliseconds>(now - *confirmed);
-    if (storeConfirmedAt_)
+    if (confirmedSinceStart())
         report.storeConfirmedAge = std::chrono::ceil<Milliseconds>(now - *storeConfirmedAt_);
     report.confirmedEra = confirmedEra_;
     for (const auto &[service, reachability] : ownReachability_)
--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -109,6 +109,7 @@
         TimePoint startedAt;
         std::size_t asked = 0;
         std::size_t promised = 0;
+        std::size_t confirmed = 0; ///< those of processes to which the store confirmed the records
     };
 
     void renewPermission(TimePoint at);
@@ -135,7 +136,10 @@
     void exchangeWithMember(const VmId &vm);
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
-    void countPromise(PromiseRound &round);
+    void countPromise(PromiseRound &round, bool confirmed);
+    /// Whether the store has confirmed the records since this process was started, so that they
+    /// hold every announcement that its former process acknowledged.
+    bool confirmedSinceStart() const { return storeConfirmedAt_ >= createdAt_; }
     PeerReport makeReport() const;
     bool isOfLaterEra(const PeerStatus &peer) const;
     void fetchLaterEra(TimePoint now);
@@ -148,6 +152,7 @@
     Hooks hooks_;
     FleetMembers members_;
     Confirmation confirmation_;
+    const TimePoint createdAt_;
     bool registering_ = false;
     TimePoint nextRegistration_{}; ///< earliest time of the next attempt
     std::optional<TimePoint> startedAt_; ///< time of the first tick
--- a/src/takeover/peer_report.h
+++ b/src/takeover/peer_report.h
@@ -35,7 +35,9 @@
     std::array<ReplicaState, objectGroupCount> replicas;
     StoreVersion appliedRecords; ///< version that the sender's traffic thread has applied
     std::optional<Milliseconds> confirmedAge; ///< time since its records were known to be complete
-    std::optional<Milliseconds> storeConfirmedAge; ///< the same, counting the store's answers only
+    /// The same, counting the store's answers only. Unset until the store has confirmed the records
+    /// since the sender's process was started: it may lack what its former process acknowledged.
+    std::optional<Milliseconds> storeConfirmedAge;
     /// Newest era of the store of which the sender, in this run and as a member, held the complete
     /// records; 0 if there is none.
     StoreEra confirmedEra;
