--- a/src/takeover/fleet_peers.h
+++ b/src/takeover/fleet_peers.h
@@ -111,6 +111,7 @@
         TimePoint startedAt;
         std::size_t asked = 0;
         std::size_t promised = 0;
+        std::size_t confirmed = 0; ///< those of processes to which the store confirmed the records
     };
 
     /// What this daemon remembers of a request until it is answered.
@@ -146,7 +147,10 @@
     void exchangeWithMember(const VmId &vm);
     void exchangeWith(const VmId &vm, const SocketAddress &address, bool wantPromise,
                       std::shared_ptr<PromiseRound> round);
-    void countPromise(PromiseRound &round);
+    void countPromise(PromiseRound &round, bool confirmed);
+    /// Whether the store has confirmed the records since this process was started, so that they
+    /// hold every announcement that its former process acknowledged.
+    bool confirmedSinceStart() const { return storeConfirmedAt_ >= createdAt_; }
     PeerReport makeReport() const;
     void handleAnswer(const VmId &vm, const PeerReport &answer, const SentRequest &request,
                       bool late);
@@ -174,6 +178,7 @@
     ExchangePacing::Holders holders_; ///< as of holdersAt_
     TimePoint holdersAt_{};
     Confirmation confirmation_;
+    const TimePoint createdAt_;
     bool registering_ = false;
     TimePoint nextRegistration_{}; ///< earliest time of the next attempt
     std::optional<TimePoint> startedAt_; ///< time of the first tick
