--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -22,6 +22,13 @@
     EVENT(TaskFailed, 1101, Error, "unexpected error in a task or a connection, which was ended")          \
     EVENT(AcceptFailed, 1102, Warning, "connection of a peer could not be accepted; trying again")         \
     EVENT(StatementFailed, 1200, Debug, "statement failed")                                                \
+    EVENT(AllotmentCoordinator, 1210, Info,                                                                \
+          "this daemon starts or stops to divide the limits of a group of customers")                      \
+    EVENT(AllotmentCoordinatorLost, 1211, Warning,                                                         \
+          "coordinator of limits does not answer; a successor is asked")                                   \
+    EVENT(AllotmentCounted, 1212, Info,                                                                    \
+          "operations of a limited customer since the last such event")                                    \
+    EVENT(OperationRefused, 1213, Info, "operation refused at the limit of its customer")                  \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
