--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -181,7 +181,47 @@
   wantsWhole @14 :Bool;
 }
 
+# What a daemon holds and needs of one limited customer.
+struct AllotmentNeed {
+  customer @0 :Text;
+  rate @1 :Float32;
+  capacity @2 :Float32;
+  level @3 :Float32;
+  returned @4 :Float32;
+  demand @5 :Float32;
+  waiting @6 :UInt32;
+}
+
+# All that a daemon holds in one group of customers.
+struct AllotmentGroup {
+  group @0 :UInt8;
+  sequence @1 :UInt64;
+  # Time since the sender turned to the receiver as its coordinator.
+  followedMs @2 :UInt32;
+  needs @3 :List(AllotmentNeed);
+}
+
+struct AllotmentGrant {
+  customer @0 :Text;
+  # Limit of which rate and capacity are a part.
+  limitRate @1 :Float32;
+  limitBurst @2 :Float32;
+  rate @3 :Float32;
+  capacity @4 :Float32;
+  tokens @5 :Float32;
+  refuseMs @6 :UInt32;
+}
+
+struct AllotmentGrants {
+  group @0 :UInt8;
+  # 0 leases, 1 tokens only, 2 resigned.
+  kind @1 :UInt8;
+  grants @2 :List(AllotmentGrant);
+}
+
 interface Peer {
   # Delivers the sender's report and returns the receiver's.
   exchange @0 (report :PeerReport) -> (report :PeerReport);
+  # Asks a coordinator for parts of the limits of customers.
+  allot @1 (vm :Text, process :UInt64, groups :List(AllotmentGroup)) -> (groups :List(AllotmentGrants));
 }
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -45,9 +45,15 @@
 CAPNP_DECLARE_SCHEMA(88445ca53c02dd47);
 CAPNP_DECLARE_SCHEMA(f31ae7a43dfd2932);
 CAPNP_DECLARE_SCHEMA(962558a1e02a3998);
+CAPNP_DECLARE_SCHEMA(a80ae8b3a029261c);
+CAPNP_DECLARE_SCHEMA(a2438d3e2667ef85);
+CAPNP_DECLARE_SCHEMA(b01a1a8fd67cccf4);
+CAPNP_DECLARE_SCHEMA(8778dbf75d462d49);
 CAPNP_DECLARE_SCHEMA(abe3c4ae06416546);
 CAPNP_DECLARE_SCHEMA(f44894af751ea554);
 CAPNP_DECLARE_SCHEMA(f37033b9a95f8629);
+CAPNP_DECLARE_SCHEMA(c5b7ff3668125129);
+CAPNP_DECLARE_SCHEMA(e1272a08891a0979);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -469,6 +475,66 @@
   };
 };
 
+struct AllotmentNeed {
+  AllotmentNeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a80ae8b3a029261c, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGroup {
+  AllotmentGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2438d3e2667ef85, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGrant {
+  AllotmentGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b01a1a8fd67cccf4, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGrants {
+  AllotmentGrants() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8778dbf75d462d49, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -479,6 +545,8 @@
 
   struct ExchangeParams;
   struct ExchangeResults;
+  struct AllotParams;
+  struct AllotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -518,6 +586,36 @@
   };
 };
 
+struct Peer::AllotParams {
+  AllotParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5b7ff3668125129, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AllotResults {
+  AllotResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1272a08891a0979, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Report::Reader {
@@ -3153,62 +3251,120 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class AllotmentNeed::Reader {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef AllotmentNeed Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline float getRate() const;
+
+  inline float getCapacity() const;
+
+  inline float getLevel() const;
+
+  inline float getReturned() const;
+
+  inline float getDemand() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+class AllotmentNeed::Builder {
 public:
-  typedef Peer Serves;
+  typedef AllotmentNeed Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::pistachiowood::wire::Peer::ExchangeParams ExchangeParams;
-  typedef  ::pistachiowood::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::pistachiowood::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pistachiowood::wire::Peer>();
-  }
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
+  inline float getLevel();
+  inline void setLevel(float value);
+
+  inline float getReturned();
+  inline void setReturned(float value);
+
+  inline float getDemand();
+  inline void setDemand(float value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentNeed::Pipeline {
+public:
+  typedef AllotmentNeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader {
+class AllotmentGroup::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef AllotmentGroup Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3223,8 +3379,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+  inline  ::uint8_t getGroup() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint32_t getFollowedMs() const;
+
+  inline bool hasNeeds() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader getNeeds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3238,9 +3400,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder {
+class AllotmentGroup::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef AllotmentGroup Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3254,12 +3416,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
-  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
-  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
-  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+  inline  ::uint8_t getGroup();
+  inline void setGroup( ::uint8_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint32_t getFollowedMs();
+  inline void setFollowedMs( ::uint32_t value);
+
+  inline bool hasNeeds();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder getNeeds();
+  inline void setNeeds( ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder initNeeds(unsigned int size);
+  inline void adoptNeeds(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> disownNeeds();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3271,15 +3442,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline {
+class AllotmentGroup::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef AllotmentGroup Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3288,9 +3458,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader {
+class AllotmentGrant::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef AllotmentGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3305,8 +3475,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline float getLimitRate() const;
+
+  inline float getLimitBurst() const;
+
+  inline float getRate() const;
+
+  inline float getCapacity() const;
+
+  inline float getTokens() const;
+
+  inline  ::uint32_t getRefuseMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3320,9 +3502,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder {
+class AllotmentGrant::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef AllotmentGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3336,12 +3518,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
-  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
-  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
-  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline float getLimitRate();
+  inline void setLimitRate(float value);
+
+  inline float getLimitBurst();
+  inline void setLimitBurst(float value);
+
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
+  inline float getTokens();
+  inline void setTokens(float value);
+
+  inline  ::uint32_t getRefuseMs();
+  inline void setRefuseMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3353,15 +3553,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline {
+class AllotmentGrant::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef AllotmentGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3370,28 +3569,519 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class AllotmentGrants::Reader {
+public:
+  typedef AllotmentGrants Reads;
 
-inline  ::uint64_t Report::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Report::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Report::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Report::Builder::getPosition() {
+  inline  ::uint8_t getGroup() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AllotmentGrants::Builder {
+public:
+  typedef AllotmentGrants Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getGroup();
+  inline void setGroup( ::uint8_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentGrants::Pipeline {
+public:
+  typedef AllotmentGrants Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pistachiowood::wire::Peer::AllotParams,  ::pistachiowood::wire::Peer::AllotResults> allotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::pistachiowood::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::pistachiowood::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::pistachiowood::wire::Peer::AllotParams AllotParams;
+  typedef  ::pistachiowood::wire::Peer::AllotResults AllotResults;
+  typedef ::capnp::CallContext<AllotParams, AllotResults> AllotContext;
+  virtual ::kj::Promise<void> allot(AllotContext context);
+
+  inline  ::pistachiowood::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pistachiowood::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AllotParams::Reader {
+public:
+  typedef AllotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getProcess() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AllotParams::Builder {
+public:
+  typedef AllotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>> disownGroups();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AllotParams::Pipeline {
+public:
+  typedef AllotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AllotResults::Reader {
+public:
+  typedef AllotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AllotResults::Builder {
+public:
+  typedef AllotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>> disownGroups();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AllotResults::Pipeline {
+public:
+  typedef AllotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Report::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getPosition() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
@@ -5881,150 +6571,524 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t PeerReport::Reader::getStoreConfirmedAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::int64_t PeerReport::Reader::getStoreConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerReport::Builder::getStoreConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setStoreConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasEras() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasEras() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasCarriedDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasCarriedDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getCarriedDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getCarriedDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initCarriedDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptCarriedDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownCarriedDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getObeyedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getObeyedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setObeyedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getConfirmedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getConfirmedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfirmedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getWantsEra() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getWantsEra() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsEra(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getWantsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getWantsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AllotmentNeed::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AllotmentNeed::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AllotmentNeed::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AllotmentNeed::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AllotmentNeed::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AllotmentNeed::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float AllotmentNeed::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentNeed::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentNeed::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentNeed::Builder::getCapacity() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentNeed::Reader::getLevel() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentNeed::Builder::getLevel() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setLevel(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentNeed::Reader::getReturned() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentNeed::Builder::getReturned() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setReturned(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentNeed::Reader::getDemand() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentNeed::Builder::getDemand() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setDemand(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AllotmentNeed::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AllotmentNeed::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t AllotmentGroup::Reader::getGroup() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t AllotmentGroup::Builder::getGroup() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGroup::Builder::setGroup( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AllotmentGroup::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AllotmentGroup::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGroup::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AllotmentGroup::Reader::getFollowedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PeerReport::Builder::getStoreConfirmedAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint32_t AllotmentGroup::Builder::getFollowedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setStoreConfirmedAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGroup::Builder::setFollowedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::hasEras() const {
+inline bool AllotmentGroup::Reader::hasNeeds() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasEras() {
+inline bool AllotmentGroup::Builder::hasNeeds() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEras() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEras() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader AllotmentGroup::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder AllotmentGroup::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void AllotmentGroup::Builder::setNeeds( ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEras(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder AllotmentGroup::Builder::initNeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerReport::Builder::adoptEras(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void AllotmentGroup::Builder::adoptNeeds(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEras() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> AllotmentGroup::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasCarriedDigests() const {
+inline bool AllotmentGrant::Reader::hasCustomer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasCarriedDigests() {
+inline bool AllotmentGrant::Builder::hasCustomer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getCarriedDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AllotmentGrant::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getCarriedDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void AllotmentGrant::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void PeerReport::Builder::setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initCarriedDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline void AllotmentGrant::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerReport::Builder::adoptCarriedDigests(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> AllotmentGrant::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownCarriedDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline float AllotmentGrant::Reader::getLimitRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Reader::getObeyedEra() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float AllotmentGrant::Builder::getLimitRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setLimitRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentGrant::Reader::getLimitBurst() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentGrant::Builder::getLimitBurst() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setLimitBurst(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentGrant::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentGrant::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentGrant::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float AllotmentGrant::Builder::getCapacity() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentGrant::Reader::getTokens() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getObeyedEra() {
-  return _builder.getDataField< ::uint64_t>(
+inline float AllotmentGrant::Builder::getTokens() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setObeyedEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentGrant::Builder::setTokens(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerReport::Reader::getConfirmedEra() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t AllotmentGrant::Reader::getRefuseMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getConfirmedEra() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t AllotmentGrant::Builder::getRefuseMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setConfirmedEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentGrant::Builder::setRefuseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getWantsEra() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Reader::getGroup() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Builder::getWantsEra() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Builder::getGroup() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setWantsEra(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGrants::Builder::setGroup( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getWantsWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Builder::getWantsWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setWantsWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGrants::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AllotmentGrants::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AllotmentGrants::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader AllotmentGrants::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder AllotmentGrants::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AllotmentGrants::Builder::setGrants( ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder AllotmentGrants::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AllotmentGrants::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> AllotmentGrants::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -6129,6 +7193,122 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AllotParams::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotParams::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::AllotParams::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::AllotParams::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotParams::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::AllotParams::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotParams::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::AllotParams::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::AllotParams::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AllotParams::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AllotParams::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::AllotParams::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotParams::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader Peer::AllotParams::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder Peer::AllotParams::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotParams::Builder::setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder Peer::AllotParams::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotParams::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>> Peer::AllotParams::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::AllotResults::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotResults::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader Peer::AllotResults::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder Peer::AllotResults::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotResults::Builder::setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder Peer::AllotResults::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotResults::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>> Peer::AllotResults::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -1,5 +1,6 @@
 #include "rpc/peer_rpc.h"
 
+#include "rpc/allotment_wire.h"
 #include "rpc/control_wire.h"
 #include "rpc/loop_calls.h"
 #include "rpc/rpc_host.h"
@@ -171,8 +172,10 @@
 {
 public:
     PeerServer(EventLoop &loop, const PeerRpc::Handler &handler,
+               const PeerRpc::AllotmentHandler &allotmentHandler,
                std::function<void(RpcHost::Task)> post)
         : handler_(handler)
+        , allotmentHandler_(allotmentHandler)
         , invoker_(loop, std::move(post))
     {
     }
@@ -188,8 +191,20 @@
             });
     }
 
+    kj::Promise<void> allot(AllotContext context) override
+    {
+        return invoker_
+            .call<AllotmentAnswer>([this, request = decodeAllotmentRequest(context.getParams())] {
+                return allotmentHandler_ ? allotmentHandler_(request) : AllotmentAnswer{};
+            })
+            .then([context](const AllotmentAnswer &answer) mutable {
+                encodeAllotmentAnswer(answer, context.getResults());
+            });
+    }
+
 private:
     const PeerRpc::Handler &handler_;
+    const PeerRpc::AllotmentHandler &allotmentHandler_;
     LoopInvoker invoker_;
 };
 
@@ -200,10 +215,11 @@
     EventLoop &loop;
     Handler handler;
     RpcHost host;
+    AllotmentHandler allotmentHandler;
 };
 
 PeerRpc::PeerRpc(EventLoop &loop, Handler handler)
-    : private_(new Private{loop, std::move(handler), {}})
+    : private_(new Private{loop, std::move(handler), {}, {}})
 {
 }
 
@@ -213,18 +229,36 @@
 {
     return private_->host.listen(
         address, ConnectionClass::ControlRpc, [this]() -> capnp::Capability::Client {
-            return wire::Peer::Client(
-                kj::heap<PeerServer>(private_->loop, private_->handler, private_->host.poster()));
+            return wire::Peer::Client(kj::heap<PeerServer>(private_->loop, private_->handler,
+                                                           private_->allotmentHandler,
+                                                           private_->host.poster()));
         });
 }
 
+void PeerRpc::setAllotmentHandler(AllotmentHandler handler)
+{
+    private_->allotmentHandler = std::move(handler);
+}
+
+void PeerRpc::requestAllotments(const SocketAddress &peer, const AllotmentRequest &request,
+                                Milliseconds timeout, AllotmentChannel::Callback callback)
+{
+    const auto call = [request](wire::Peer::Client client) {
+        auto message = client.allotRequest();
+        encodeAllotmentRequest(request, message);
+        return message.send().then([](auto &&response) { return decodeAllotmentAnswer(response); });
+    };
+    callPeer<wire::Peer, AllotmentAnswer>(private_->host, private_->loop, peer, timeout, call,
+                                          std::move(callback));
+}
+
 std::uint16_t PeerRpc::port() const
 {
     return private_->host.port();
 }
 
 void PeerRpc::exchange(const SocketAddress &peer, const PeerReport &report, Milliseconds timeout,
-                       Callback callback)
+                       PeerChannel::Callback callback)
 {
     const auto call = [report](wire::Peer::Client client) {
         auto request = client.exchangeRequest();
--- a/src/rpc/peer_rpc_test.cpp
+++ b/src/rpc/peer_rpc_test.cpp
@@ -104,6 +104,44 @@
     CHECK_TRUE((copy.carried.front().version == ItemVersion{storeVersion(4, 2), {0, 8}}));
 }
 
+// Guards against allotments that are lost or mixed up on the way, and against a sum of rounded
+// rates above what the coordinator counts.
+TEST(PeerRpc, allotmentsAreChangedOnTheWay)
+{
+    const AllotmentNeed need{CustomerName("c"), 1.5, 2, 0.5, 0.25, 4, 3};
+    PeerRpc server(loop, [](const PeerReport &report) { return report; });
+    AllotmentRequest received;
+    server.setAllotmentHandler([&](const AllotmentRequest &request) {
+        received = request;
+        return AllotmentAnswer{
+            {{2, GrantKind::TokensOnly, {{CustomerName("c"), {10, 20}, 0.1, 3, 2, 400ms}}}}};
+    });
+    CHECK_TRUE(!!server.listen({"127.0.0.1", 0}));
+    PeerRpc caller(loop, [](const PeerReport &report) { return report; });
+    CHECK_TRUE(!!caller.listen({"127.0.0.1", 0}));
+    std::optional<AllotmentAnswer> allotted;
+    caller.requestAllotments({"127.0.0.1", server.port()}, {VmId("v"), 9, {{2, 7, 1000ms, {need}}}},
+                             300ms, [&](const std::variant<AllotmentAnswer, Error> &outcome) {
+                                 if (const auto *value = std::get_if<AllotmentAnswer>(&outcome))
+                                     allotted = *value;
+                             });
+    runLoop(400ms);
+    CHECK_TRUE(allotted.has_value());
+    LONGS_EQUAL(9, received.process);
+    const GroupNeeds &group = received.groups.front();
+    CHECK_TRUE(group.group == 2 && group.sequence == 7 && group.followedFor == 1000ms);
+    const AllotmentNeed &got = group.needs.front();
+    CHECK_TRUE(got.customer == need.customer && got.waiting == 3);
+    CHECK_TRUE(got.rate == 1.5 && got.capacity == 2 && got.level == 0.5);
+    CHECK_TRUE(got.returned == 0.25 && got.demand == 4);
+    const GroupGrants &grants = allotted->groups.front();
+    CHECK_TRUE(grants.group == 2 && grants.kind == GrantKind::TokensOnly);
+    const AllotmentGrant &grant = grants.grants.front();
+    CHECK_TRUE(grant.limit == (OperationLimit{10, 20}) && grant.refuseFor == 400ms);
+    CHECK_TRUE(grant.rate <= 0.1 && grant.rate > 0.0999);
+    CHECK_TRUE(grant.capacity == 3 && grant.tokens == 2);
+}
+
 // Guards against a daemon that accepts no peer any more after a moment without free descriptors: it
 // lost its confirmations until it was restarted.
 TEST(PeerRpc, peersAreAcceptedAgainAfterDescriptorShortage)
