Admit operations of limited customers before an endpoint is chosen

Cause: nothing held customers to their limits. Change: a session of a customer asks once for each operation: a statement outside a transaction, or the first statement of a transaction for an endpoint. It is admitted, refused with BUSY, or waits for a quarter of the target latency. The control thread runs the coordinators and messages. Without limited customers nothing is asked or sent.

--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/session_daemon.h"
 
+#include "allotments/allotment_exchange.h"
 #include "base/log.h"
 #include "rpc/peer_rpc.h"
 
@@ -18,6 +19,7 @@
 constexpr Milliseconds lastRepliesDelay{150}; // for sending the replies to abandoned statements
 constexpr Milliseconds drainPollInterval{50};
 constexpr Milliseconds readinessUpdateInterval{50};
+constexpr Milliseconds allotmentTick{50}; // well below the delay of the first probe
 
 } // namespace
 
@@ -36,7 +38,14 @@
         , callers(factories.makeCallers(traffic, gateway))
         , peers(control,
                 [this](const PeerReport &report) { return fleet->handlePeerReport(report); })
+        , allotments(settings.fleet.vm, drawSeed() | 1, settings.allotments, clock, peers)
     {
+        peers.setAllotmentHandler(
+            [this](const AllotmentRequest &request) { return allotments.handleRequest(request); });
+        gateway.admission().setSettings(settings.allotments);
+        gateway.admission().setSender([this](std::vector<GroupNeeds> needs) {
+            control.post([this, needs = std::move(needs)] { sendNeeds(needs); });
+        });
         fleet = std::make_unique<FleetControl>(control, clock, random, settings.fleet, *store,
                                                *promotions, peers, *this);
     }
@@ -44,6 +53,8 @@
     void setView(std::shared_ptr<const DeploymentView> view,
                  std::function<void()> onApplied) override
     {
+        allotments.setMembers(fleet->otherDaemons());
+        allotments.setCustomers(view->customers);
         traffic.post([this, view = std::move(view), onApplied = std::move(onApplied)] {
             const bool wasConfigured = gateway.configured();
             gateway.setView(view);
@@ -84,6 +95,23 @@
         });
     }
 
+    // Runs in the control thread.
+    void sendNeeds(const std::vector<GroupNeeds> &needs)
+    {
+        allotments.send(
+            needs, [this](std::vector<GroupGrants> answered, std::vector<unsigned> failed) {
+                traffic.post([this, answered = std::move(answered), failed = std::move(failed)] {
+                    gateway.admission().handleAnswer(answered, failed);
+                });
+            });
+    }
+
+    void updateAllotments()
+    {
+        allotments.tick();
+        control.startTimer(allotmentTick, [this] { updateAllotments(); });
+    }
+
     void updateReadiness()
     {
         readiness->setReady(!stopping && fleet->ready());
@@ -142,6 +170,7 @@
     Gateway gateway;
     std::unique_ptr<CallerListener> callers;
     PeerRpc peers;
+    AllotmentExchange allotments;
     std::unique_ptr<FleetControl> fleet;
     bool stopping = false;
 };
@@ -166,6 +195,7 @@
     });
     daemon.fleet->start();
     daemon.updateReadiness();
+    daemon.updateAllotments();
     logEvent(Event::DaemonStarted, {{"vm", daemon.settings.fleet.vm.value()}});
     std::thread trafficThread([&daemon] { daemon.traffic.run(); });
     daemon.control.run();
--- a/src/daemon/session_daemon.h
+++ b/src/daemon/session_daemon.h
@@ -46,6 +46,7 @@
 struct SessionDaemonSettings
 {
     FleetSettings fleet;
+    AllotmentSettings allotments;
     Milliseconds gracePeriod{6000}; ///< from shutdown() until the process is killed
 };
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -32,6 +32,9 @@
     CallerSession(GatewayContext &context, CallerChannel &channel, DatabaseRoute route);
     ~CallerSession() override;
 
+    /// Sets the customer whose limits count.
+    void setCustomer(std::optional<CustomerName> customer) { customer_ = std::move(customer); }
+
     void handleStatement(SessionStatement statement);
     /// Resumes a statement that waits for an endpoint or for the permission to use the primary.
     void handleViewChanged();
@@ -54,13 +57,21 @@
     void handleConnectionLost() override;
 
 private:
-    enum class Stage { WaitingForEndpoint, WaitingForConnection, SettingUp, Sent, Confirming };
+    enum class Stage {
+        WaitingForEndpoint,
+        WaitingForConnection,
+        SettingUp,
+        Sent,
+        Confirming,
+        WaitingForAdmission
+    };
 
     struct Transaction
     {
         bool readOnly = false;
         bool opened = false; ///< begun at the endpoint
         bool wrote = false;
+        bool admitted = false; ///< counted against the limit of the customer
         bool broken = false; ///< connection lost or idle timeout exceeded between statements
         TimePoint startedAt;
         TimePoint lastActivity;
@@ -83,6 +94,7 @@
         std::size_t pendingSetupReplies = 0;
         std::optional<ReplyCode> setupFailure;
         std::optional<StatementReply> unconfirmedReply; ///< of a write, until confirmWrite()
+        OperationAdmission::Ticket admission = 0; ///< of the operation, while it waits
         TimerId timer = 0;
         TimerId retryTimer = 0;
     };
@@ -96,6 +108,9 @@
                 const std::string &refusal);
     void beginTransaction(bool readOnly);
     void endTransaction();
+    void admitOperation();
+    void handleAdmission(bool admitted);
+    void refuseOperation();
     void dispatch();
     bool needsPrimary() const;
     void acquireConnection(const EndpointChoice &choice);
@@ -124,6 +139,7 @@
     GatewayContext &context_;
     CallerChannel &channel_;
     DatabaseRoute route_;
+    std::optional<CustomerName> customer_; ///< absent on routes that need no key
     SessionVariables variables_;
     std::map<std::string, PreparedStatement> prepared_;
     std::optional<Transaction> transaction_;
--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -25,6 +25,9 @@
 // at most.
 constexpr Milliseconds minConfirmationTimeout{1000};
 
+// Part of the target latency for which an operation may wait for an allotment.
+constexpr int admissionWaitDivisor = 4;
+
 // Whether an endpoint that replies with this code has not executed the statement.
 bool guaranteesNotExecuted(ReplyCode code)
 {
@@ -48,8 +51,8 @@
 // What the execution waited for when its statement failed.
 std::string_view describeStage(int stage)
 {
-    static constexpr std::array<std::string_view, 5> names{"endpoint", "connection", "set-up",
-                                                           "answer", "permission"};
+    static constexpr std::array<std::string_view, 6> names{"endpoint", "connection", "set-up",
+                                                           "answer",   "permission", "admission"};
     return names.at(static_cast<std::size_t>(stage));
 }
 
@@ -103,9 +106,47 @@
         failStatement(ReplyCode::ReadOnly, "the transaction only reads");
         return;
     }
+    admitOperation();
+}
+
+// Counts the operation against the limit of its customer: a statement, or a transaction at its
+// first statement for an endpoint. Further attempts at other endpoints do not count again.
+void CallerSession::admitOperation()
+{
+    if (!customer_ || (transaction_ && transaction_->admitted)) {
+        dispatch();
+        return;
+    }
+    const auto [verdict, ticket] =
+        context_.admission().request(*customer_, route_.targetLatency / admissionWaitDivisor,
+                                     [this](bool admitted) { handleAdmission(admitted); });
+    if (verdict == AdmissionVerdict::Wait) {
+        execution_->stage = Stage::WaitingForAdmission;
+        execution_->admission = ticket;
+    } else {
+        handleAdmission(verdict == AdmissionVerdict::Admit);
+    }
+}
+
+void CallerSession::handleAdmission(bool admitted)
+{
+    execution_->admission = 0;
+    execution_->stage = Stage::WaitingForEndpoint;
+    if (!admitted) {
+        refuseOperation();
+        return;
+    }
+    if (transaction_)
+        transaction_->admitted = true;
     dispatch();
 }
 
+void CallerSession::refuseOperation()
+{
+    context_.admission().logRefusal(execution_->statement.id, *customer_);
+    failStatement(ReplyCode::Busy, "the customer is at its limit");
+}
+
 bool CallerSession::needsPrimary() const
 {
     if (route_.consistency == Consistency::Primary || execution_->writes)
@@ -541,6 +582,8 @@
 
 void CallerSession::stopTimers()
 {
+    if (const auto ticket = std::exchange(execution_->admission, 0); ticket != 0)
+        context_.admission().cancel(ticket);
     context_.loop().cancelTimer(execution_->timer);
     context_.loop().cancelTimer(execution_->retryTimer);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,6 +97,7 @@
     , random_(random)
     , dialer_(dialer)
     , startedAt_(clock.now())
+    , admission_(loop, clock, random)
 {
 }
 
@@ -118,6 +119,7 @@
     if (!configured())
         firstViewAt_ = clock_.now();
     view_ = std::move(view);
+    admission_.setCustomers(view_->customers, view_->daemonCount);
     for (const auto &[name, service] : view_->services) {
         ServiceState &state = services_[name];
         if (state.positions.primaryEpoch() != service.primaryEpoch)
@@ -284,7 +286,8 @@
 }
 
 std::optional<Gateway::SessionId> Gateway::openSession(const std::string &database,
-                                                       CallerChannel &channel)
+                                                       CallerChannel &channel,
+                                                       std::optional<CustomerName> customer)
 {
     const auto route = view_->routes.find(database);
     if (route == view_->routes.end())
@@ -292,6 +295,7 @@
     const SessionId id = ++lastSession_;
     GatewayContext &context = *this;
     auto session = std::make_unique<CallerSession>(context, channel, route->second);
+    session->setCustomer(std::move(customer));
     if (draining_)
         session->closeWhenIdle();
     sessions_.emplace(id, std::move(session));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,14 +47,18 @@
     /// Records a position that the primary of this epoch reported to another daemon.
     void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
                             PositionHistory::Sample sample);
+    /// Admits operations of customers.
+    OperationAdmission &admission() override { return admission_; }
     /// Whether this daemon sends status queries to primaries that it has no traffic with; its peers
     /// use the results too.
     void setProbing(bool probing) { probing_ = probing; }
 
     /// True once a configuration is known. Before that no database may be refused as unknown.
     bool configured() const { return view_->configurationVersion != 0; }
-    /// Opens a session with a database; nullopt if the database has no route.
-    std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel);
+    /// Opens a session with a database; nullopt if the database has no route. Operations of a
+    /// customer count against its limit.
+    std::optional<SessionId> openSession(const std::string &database, CallerChannel &channel,
+                                         std::optional<CustomerName> customer = std::nullopt);
     void handleStatement(SessionId session, SessionStatement statement);
     void closeSession(SessionId session);
 
@@ -111,6 +115,7 @@
     TimePoint permittedUntil_{};
     TimePoint firstViewAt_{};
     std::map<ServiceName, ServiceState> services_;
+    OperationAdmission admission_;
     std::map<EndpointId, ReplicaLag> replicaLags_;
     std::unordered_map<SessionId, std::unique_ptr<CallerSession>> sessions_;
     std::map<std::uint64_t, std::unique_ptr<StatusQuery>> queries_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_GATEWAY_GATEWAY_CONTEXT_H
 #define PISTACHIOWOOD_GATEWAY_GATEWAY_CONTEXT_H
 
+#include "allotments/operation_admission.h"
 #include "gateway/connection_pool.h"
 #include "gateway/deployment.h"
 #include "gateway/position_history.h"
@@ -26,6 +27,7 @@
     /// Whether a read should wait because the primary's position, which decides whether a replica
     /// may serve it, is expected soon. Asks the primary for its position if nothing else does.
     virtual bool awaitPosition(const ServiceName &service) = 0;
+    virtual OperationAdmission &admission() = 0;
     virtual ReplicaLag &replicaLag(const EndpointId &endpoint) = 0;
     /// Whether this daemon may use the primaries of the view now.
     virtual bool primariesPermitted() const = 0;
--- a/src/takeover/fleet_control.cpp
+++ b/src/takeover/fleet_control.cpp
@@ -97,6 +97,14 @@
     return peers_.handlePeerReport(report);
 }
 
+std::map<VmId, SocketAddress> FleetControl::otherDaemons()
+{
+    std::map<VmId, SocketAddress> others;
+    for (const auto &[vm, member] : peers_.members().others())
+        others.emplace(vm, member.record.address);
+    return others;
+}
+
 void FleetControl::handleReachability(std::vector<PrimaryReachability> reachability)
 {
     peers_.handleReachability(std::move(reachability));
--- a/src/takeover/fleet_control.h
+++ b/src/takeover/fleet_control.h
@@ -30,6 +30,8 @@
 
     /// Takes the report of a peer and returns the answer.
     PeerReport handlePeerReport(const PeerReport &report);
+    /// Addresses of the other daemons.
+    std::map<VmId, SocketAddress> otherDaemons();
     void handleReachability(std::vector<PrimaryReachability> reachability);
     /// Whether a configuration and at least one endpoint are known.
     bool ready() const;
