--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -30,6 +30,13 @@
     EVENT(SessionsRefused, 1206, Info, "sessions refused since the start, by reason")                      \
     EVENT(SessionsWithdrawn, 1207, Info,                                                                   \
           "sessions end because a new configuration no longer entitles them")                              \
+    EVENT(AllotmentCoordinator, 1210, Info,                                                                \
+          "this daemon starts or stops to divide the limits of a group of customers")                      \
+    EVENT(AllotmentCoordinatorLost, 1211, Warning,                                                         \
+          "coordinator of limits does not answer; a successor is asked")                                   \
+    EVENT(AllotmentCounted, 1212, Info,                                                                    \
+          "operations of a limited customer since the last such event")                                    \
+    EVENT(OperationRefused, 1213, Info, "operation refused at the limit of its customer")                  \
     EVENT(ConnectFailed, 1300, Debug, "connect to endpoint failed")                                        \
     EVENT(EndpointUnreachable, 1301, Warning, "endpoint is unreachable; its work is refused")              \
     EVENT(EndpointReachable, 1302, Info, "endpoint is reachable again")                                    \
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -71,13 +71,21 @@
     void handleConnectionLost() override;
 
 private:
-    enum class Stage { WaitingForEndpoint, WaitingForConnection, SettingUp, Sent, Confirming };
+    enum class Stage {
+        WaitingForEndpoint,
+        WaitingForConnection,
+        SettingUp,
+        Sent,
+        Confirming,
+        WaitingForAdmission
+    };
 
     struct Transaction
     {
         bool readOnly = false;
         bool opened = false; ///< begun at the endpoint
         bool wrote = false;
+        bool admitted = false; ///< counted against the limit of the customer
         bool broken = false; ///< connection lost or idle timeout exceeded between statements
         TimePoint startedAt;
         TimePoint lastActivity;
@@ -100,6 +108,7 @@
         std::size_t pendingSetupReplies = 0;
         std::optional<ReplyCode> setupFailure;
         std::optional<StatementReply> unconfirmedReply; ///< of a write, until confirmWrite()
+        OperationAdmission::Ticket admission = 0; ///< of the operation, while it waits
         TimerId timer = 0;
         TimerId retryTimer = 0;
     };
@@ -113,6 +122,9 @@
                 const std::string &refusal);
     void beginTransaction(bool readOnly);
     void endTransaction();
+    void admitOperation();
+    void handleAdmission(bool admitted);
+    void refuseOperation();
     void dispatch();
     bool needsPrimary() const;
     void acquireConnection(const EndpointChoice &choice);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,6 +98,7 @@
     , random_(random)
     , dialer_(dialer)
     , startedAt_(clock.now())
+    , admission_(loop, clock, random)
 {
 }
 
@@ -119,6 +120,7 @@
     if (!configured())
         firstViewAt_ = clock_.now();
     view_ = std::move(view);
+    admission_.setCustomers(view_->customers, view_->daemonCount);
     for (const auto &[name, service] : view_->services) {
         ServiceState &state = services_[name];
         if (state.positions.primaryEpoch() != service.primaryEpoch)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,8 @@
     /// Records a position that the primary of this epoch reported to another daemon.
     void recordPeerPosition(const ServiceName &service, std::uint64_t primaryEpoch,
                             PositionHistory::Sample sample);
+    /// Admits operations of customers.
+    OperationAdmission &admission() override { return admission_; }
     /// Whether this daemon sends status queries to primaries that it has no traffic with; its peers
     /// use the results too.
     void setProbing(bool probing) { probing_ = probing; }
@@ -131,6 +133,7 @@
     TimePoint permittedUntil_{};
     TimePoint firstViewAt_{};
     std::map<ServiceName, ServiceState> services_;
+    OperationAdmission admission_;
     std::map<EndpointId, ReplicaLag> replicaLags_;
     std::unordered_map<SessionId, std::unique_ptr<CallerSession>> sessions_;
     std::map<std::uint64_t, std::unique_ptr<StatusQuery>> queries_;
--- a/src/rpc/peer.capnp.h
+++ b/src/rpc/peer.capnp.h
@@ -45,9 +45,15 @@
 CAPNP_DECLARE_SCHEMA(88445ca53c02dd47);
 CAPNP_DECLARE_SCHEMA(f31ae7a43dfd2932);
 CAPNP_DECLARE_SCHEMA(962558a1e02a3998);
+CAPNP_DECLARE_SCHEMA(a80ae8b3a029261c);
+CAPNP_DECLARE_SCHEMA(a2438d3e2667ef85);
+CAPNP_DECLARE_SCHEMA(b01a1a8fd67cccf4);
+CAPNP_DECLARE_SCHEMA(8778dbf75d462d49);
 CAPNP_DECLARE_SCHEMA(abe3c4ae06416546);
 CAPNP_DECLARE_SCHEMA(f44894af751ea554);
 CAPNP_DECLARE_SCHEMA(f37033b9a95f8629);
+CAPNP_DECLARE_SCHEMA(c5b7ff3668125129);
+CAPNP_DECLARE_SCHEMA(e1272a08891a0979);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -469,6 +475,66 @@
   };
 };
 
+struct AllotmentNeed {
+  AllotmentNeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a80ae8b3a029261c, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGroup {
+  AllotmentGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2438d3e2667ef85, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGrant {
+  AllotmentGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b01a1a8fd67cccf4, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGrants {
+  AllotmentGrants() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8778dbf75d462d49, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -479,6 +545,8 @@
 
   struct ExchangeParams;
   struct ExchangeResults;
+  struct AllotParams;
+  struct AllotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -518,6 +586,36 @@
   };
 };
 
+struct Peer::AllotParams {
+  AllotParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5b7ff3668125129, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AllotResults {
+  AllotResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1272a08891a0979, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Report::Reader {
@@ -3158,62 +3256,120 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class AllotmentNeed::Reader {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef AllotmentNeed Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline float getRate() const;
+
+  inline float getCapacity() const;
+
+  inline float getLevel() const;
+
+  inline float getReturned() const;
+
+  inline float getDemand() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+class AllotmentNeed::Builder {
 public:
-  typedef Peer Serves;
+  typedef AllotmentNeed Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::pistachiowood::wire::Peer::ExchangeParams ExchangeParams;
-  typedef  ::pistachiowood::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::pistachiowood::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::pistachiowood::wire::Peer>();
-  }
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
+  inline float getLevel();
+  inline void setLevel(float value);
+
+  inline float getReturned();
+  inline void setReturned(float value);
+
+  inline float getDemand();
+  inline void setDemand(float value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentNeed::Pipeline {
+public:
+  typedef AllotmentNeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader {
+class AllotmentGroup::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef AllotmentGroup Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3228,8 +3384,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+  inline  ::uint8_t getGroup() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint32_t getFollowedMs() const;
+
+  inline bool hasNeeds() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader getNeeds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3243,9 +3405,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder {
+class AllotmentGroup::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef AllotmentGroup Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3259,12 +3421,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
-  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
-  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
-  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+  inline  ::uint8_t getGroup();
+  inline void setGroup( ::uint8_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint32_t getFollowedMs();
+  inline void setFollowedMs( ::uint32_t value);
+
+  inline bool hasNeeds();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder getNeeds();
+  inline void setNeeds( ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder initNeeds(unsigned int size);
+  inline void adoptNeeds(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> disownNeeds();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3276,15 +3447,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline {
+class AllotmentGroup::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef AllotmentGroup Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3293,9 +3463,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader {
+class AllotmentGrant::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef AllotmentGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3310,8 +3480,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline float getLimitRate() const;
+
+  inline float getLimitBurst() const;
+
+  inline float getRate() const;
+
+  inline float getCapacity() const;
+
+  inline float getTokens() const;
+
+  inline  ::uint32_t getRefuseMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3325,9 +3507,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder {
+class AllotmentGrant::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef AllotmentGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3341,12 +3523,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
-  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
-  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
-  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline float getLimitRate();
+  inline void setLimitRate(float value);
+
+  inline float getLimitBurst();
+  inline void setLimitBurst(float value);
+
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
+  inline float getTokens();
+  inline void setTokens(float value);
+
+  inline  ::uint32_t getRefuseMs();
+  inline void setRefuseMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3358,15 +3558,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline {
+class AllotmentGrant::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef AllotmentGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3375,28 +3574,519 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class AllotmentGrants::Reader {
+public:
+  typedef AllotmentGrants Reads;
 
-inline  ::uint64_t Report::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Report::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Report::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Report::Builder::getPosition() {
+  inline  ::uint8_t getGroup() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AllotmentGrants::Builder {
+public:
+  typedef AllotmentGrants Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getGroup();
+  inline void setGroup( ::uint8_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentGrants::Pipeline {
+public:
+  typedef AllotmentGrants Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::pistachiowood::wire::Peer::ExchangeParams,  ::pistachiowood::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pistachiowood::wire::Peer::AllotParams,  ::pistachiowood::wire::Peer::AllotResults> allotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::pistachiowood::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::pistachiowood::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::pistachiowood::wire::Peer::AllotParams AllotParams;
+  typedef  ::pistachiowood::wire::Peer::AllotResults AllotResults;
+  typedef ::capnp::CallContext<AllotParams, AllotResults> AllotContext;
+  virtual ::kj::Promise<void> allot(AllotContext context);
+
+  inline  ::pistachiowood::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::pistachiowood::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::pistachiowood::wire::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::pistachiowood::wire::PeerReport::Builder getReport();
+  inline void setReport( ::pistachiowood::wire::PeerReport::Reader value);
+  inline  ::pistachiowood::wire::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::pistachiowood::wire::PeerReport>&& value);
+  inline ::capnp::Orphan< ::pistachiowood::wire::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pistachiowood::wire::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AllotParams::Reader {
+public:
+  typedef AllotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getProcess() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AllotParams::Builder {
+public:
+  typedef AllotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>> disownGroups();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AllotParams::Pipeline {
+public:
+  typedef AllotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AllotResults::Reader {
+public:
+  typedef AllotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AllotResults::Builder {
+public:
+  typedef AllotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>> disownGroups();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AllotResults::Pipeline {
+public:
+  typedef AllotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Report::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Report::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getPosition() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
@@ -4464,1586 +5154,1960 @@
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getTraffic() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Member::Builder::getTraffic() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setTraffic( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initTraffic(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptTraffic(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownTraffic() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasAdmin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasAdmin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getAdmin() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getAdmin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setAdmin( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initAdmin(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptAdmin(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAdmin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getAppliedVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getAppliedVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAppliedVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getStatusDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getStatusDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStatusDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipBody::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipBody::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pistachiowood::wire::Member::Reader GossipBody::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::Member::Pipeline GossipBody::Pipeline::getSender() {
+  return  ::pistachiowood::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GossipBody::Builder::setSender( ::pistachiowood::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::adoptSender(
+    ::capnp::Orphan< ::pistachiowood::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::Member> GossipBody::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GossipBody::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipBody::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipBody::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipBody::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipBody::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GossipBody::Reader::getSummaryVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipBody::Builder::getSummaryVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipBody::Builder::setSummaryVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipBody::Reader::getRosterDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipBody::Builder::getRosterDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipBody::Builder::setRosterDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipBody::Reader::hasSummaryBits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipBody::Builder::hasSummaryBits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader GossipBody::Reader::getSummaryBits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder GossipBody::Builder::getSummaryBits() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipBody::Builder::setSummaryBits( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder GossipBody::Builder::initSummaryBits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::setTraffic( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void GossipBody::Builder::adoptSummaryBits(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Builder Member::Builder::initTraffic(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Orphan< ::capnp::Data> GossipBody::Builder::disownSummaryBits() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::adoptTraffic(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownTraffic() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Reader::hasAdmin() const {
+inline bool GossipMessage::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasAdmin() {
+inline bool GossipMessage::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getAdmin() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::pistachiowood::wire::GossipBody::Reader GossipMessage::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getAdmin() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setAdmin( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::GossipBody::Pipeline GossipMessage::Pipeline::getBody() {
+  return  ::pistachiowood::wire::GossipBody::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Member::Builder::initAdmin(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void GossipMessage::Builder::setBody( ::pistachiowood::wire::GossipBody::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::adoptAdmin(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::initBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownAdmin() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void GossipMessage::Builder::adoptBody(
+    ::capnp::Orphan< ::pistachiowood::wire::GossipBody>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pistachiowood::wire::GossipBody> GossipMessage::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
+inline  ::uint64_t GossipMessage::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
+inline  ::uint64_t GossipMessage::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
+inline void GossipMessage::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Member::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Reader::isPing() const {
+  return which() == GossipMessage::PING;
 }
-
-inline  ::uint8_t Member::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Builder::isPing() {
+  return which() == GossipMessage::PING;
 }
-inline void Member::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Void GossipMessage::Reader::getPing() const {
+  KJ_IREQUIRE((which() == GossipMessage::PING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Reader::getAppliedVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Void GossipMessage::Builder::getPing() {
+  KJ_IREQUIRE((which() == GossipMessage::PING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setPing( ::capnp::Void value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Builder::getAppliedVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Reader::isAck() const {
+  return which() == GossipMessage::ACK;
 }
-inline void Member::Builder::setAppliedVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool GossipMessage::Builder::isAck() {
+  return which() == GossipMessage::ACK;
 }
-
-inline  ::uint64_t Member::Reader::getStatusDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Reader::hasAck() const {
+  if (which() != GossipMessage::ACK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Member::Builder::getStatusDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Builder::hasAck() {
+  if (which() != GossipMessage::ACK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Member::Builder::setStatusDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader GossipMessage::Reader::getAck() const {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipMessage::Builder::getAck() {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setAck( ::capnp::Text::Reader value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipMessage::Builder::initAck(unsigned int size) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptAck(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownAck() {
+  KJ_IREQUIRE((which() == GossipMessage::ACK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipBody::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Reader::isPingRequest() const {
+  return which() == GossipMessage::PING_REQUEST;
 }
-inline bool GossipBody::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Builder::isPingRequest() {
+  return which() == GossipMessage::PING_REQUEST;
 }
-inline  ::pistachiowood::wire::Member::Reader GossipBody::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline typename GossipMessage::PingRequest::Reader GossipMessage::Reader::getPingRequest() const {
+  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename GossipMessage::PingRequest::Reader(_reader);
 }
-inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::getPingRequest() {
+  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename GossipMessage::PingRequest::Builder(_builder);
 }
-#if !CAPNP_LITE
-inline  ::pistachiowood::wire::Member::Pipeline GossipBody::Pipeline::getSender() {
-  return  ::pistachiowood::wire::Member::Pipeline(_typeless.getPointerField(0));
+inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::initPingRequest() {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING_REQUEST);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename GossipMessage::PingRequest::Builder(_builder);
 }
-#endif  // !CAPNP_LITE
-inline void GossipBody::Builder::setSender( ::pistachiowood::wire::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline bool GossipMessage::Reader::isJoin() const {
+  return which() == GossipMessage::JOIN;
 }
-inline  ::pistachiowood::wire::Member::Builder GossipBody::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool GossipMessage::Builder::isJoin() {
+  return which() == GossipMessage::JOIN;
 }
-inline void GossipBody::Builder::adoptSender(
-    ::capnp::Orphan< ::pistachiowood::wire::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Void GossipMessage::Reader::getJoin() const {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::Member> GossipBody::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::Member>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::capnp::Void GossipMessage::Builder::getJoin() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setJoin( ::capnp::Void value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipBody::Reader::hasUpdates() const {
+inline bool GossipMessage::Reader::isJoinAnswer() const {
+  return which() == GossipMessage::JOIN_ANSWER;
+}
+inline bool GossipMessage::Builder::isJoinAnswer() {
+  return which() == GossipMessage::JOIN_ANSWER;
+}
+inline bool GossipMessage::Reader::hasJoinAnswer() const {
+  if (which() != GossipMessage::JOIN_ANSWER) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipBody::Builder::hasUpdates() {
+inline bool GossipMessage::Builder::hasJoinAnswer() {
+  if (which() != GossipMessage::JOIN_ANSWER) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipBody::Reader::getUpdates() const {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getJoinAnswer() const {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::getUpdates() {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getJoinAnswer() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipBody::Builder::setUpdates( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void GossipMessage::Builder::setJoinAnswer( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipBody::Builder::initUpdates(unsigned int size) {
+inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initJoinAnswer(unsigned int size) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipBody::Builder::adoptUpdates(
+inline void GossipMessage::Builder::adoptJoinAnswer(
     ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<GossipMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipBody::Builder::disownUpdates() {
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownJoinAnswer() {
+  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GossipBody::Reader::getSummaryVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::PingRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t GossipBody::Builder::getSummaryVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::PingRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipBody::Builder::setSummaryVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t GossipBody::Reader::getRosterDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t GossipBody::Builder::getRosterDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void GossipMessage::PingRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void GossipBody::Builder::setRosterDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::PingRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipBody::Reader::hasSummaryBits() const {
+inline bool GossipMessage::PingRequest::Reader::hasTargetAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipBody::Builder::hasSummaryBits() {
+inline bool GossipMessage::PingRequest::Builder::hasTargetAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader GossipBody::Reader::getSummaryBits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTargetAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder GossipBody::Builder::getSummaryBits() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTargetAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GossipBody::Builder::setSummaryBits( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void GossipMessage::PingRequest::Builder::setTargetAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder GossipBody::Builder::initSummaryBits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTargetAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void GossipBody::Builder::adoptSummaryBits(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void GossipMessage::PingRequest::Builder::adoptTargetAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> GossipBody::Builder::disownSummaryBits() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTargetAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline Control::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Control::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Control::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Control::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Control::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::pistachiowood::wire::Control::Client& Control::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline  ::pistachiowood::wire::GossipMessage::Which GossipMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::pistachiowood::wire::Control::Client& Control::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool GossipMessage::Reader::hasBody() const {
+#endif  // !CAPNP_LITE
+inline bool Control::GossipParams::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasBody() {
+inline bool Control::GossipParams::Builder::hasMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pistachiowood::wire::GossipBody::Reader GossipMessage::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_reader.getPointerField(
+inline  ::pistachiowood::wire::GossipMessage::Reader Control::GossipParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::get(_builder.getPointerField(
+inline  ::pistachiowood::wire::GossipMessage::Builder Control::GossipParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::pistachiowood::wire::GossipBody::Pipeline GossipMessage::Pipeline::getBody() {
-  return  ::pistachiowood::wire::GossipBody::Pipeline(_typeless.getPointerField(0));
+inline  ::pistachiowood::wire::GossipMessage::Pipeline Control::GossipParams::Pipeline::getMessage() {
+  return  ::pistachiowood::wire::GossipMessage::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void GossipMessage::Builder::setBody( ::pistachiowood::wire::GossipBody::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::set(_builder.getPointerField(
+inline void Control::GossipParams::Builder::setMessage( ::pistachiowood::wire::GossipMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pistachiowood::wire::GossipBody::Builder GossipMessage::Builder::initBody() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::init(_builder.getPointerField(
+inline  ::pistachiowood::wire::GossipMessage::Builder Control::GossipParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::adoptBody(
-    ::capnp::Orphan< ::pistachiowood::wire::GossipBody>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::adopt(_builder.getPointerField(
+inline void Control::GossipParams::Builder::adoptMessage(
+    ::capnp::Orphan< ::pistachiowood::wire::GossipMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::GossipBody> GossipMessage::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipBody>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::pistachiowood::wire::GossipMessage> Control::GossipParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GossipMessage::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GossipMessage::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Control::FetchConfigurationResults::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipMessage::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Control::FetchConfigurationResults::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool GossipMessage::Reader::isPing() const {
-  return which() == GossipMessage::PING;
+inline  ::pistachiowood::wire::ConfigurationSnapshot::Reader Control::FetchConfigurationResults::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool GossipMessage::Builder::isPing() {
-  return which() == GossipMessage::PING;
+inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Void GossipMessage::Reader::getPing() const {
-  KJ_IREQUIRE((which() == GossipMessage::PING),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline Control::FetchConfigurationResults::Pipeline::getSnapshot() {
+  return  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline(_typeless.getPointerField(0));
 }
-
-inline  ::capnp::Void GossipMessage::Builder::getPing() {
-  KJ_IREQUIRE((which() == GossipMessage::PING),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline void Control::FetchConfigurationResults::Builder::setSnapshot( ::pistachiowood::wire::ConfigurationSnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void GossipMessage::Builder::setPing( ::capnp::Void value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool GossipMessage::Reader::isAck() const {
-  return which() == GossipMessage::ACK;
+inline void Control::FetchConfigurationResults::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline bool GossipMessage::Builder::isAck() {
-  return which() == GossipMessage::ACK;
+inline ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot> Control::FetchConfigurationResults::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool GossipMessage::Reader::hasAck() const {
-  if (which() != GossipMessage::ACK) return false;
+
+inline bool Control::FetchStatusesParams::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasAck() {
-  if (which() != GossipMessage::ACK) return false;
+inline bool Control::FetchStatusesParams::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader GossipMessage::Reader::getAck() const {
-  KJ_IREQUIRE((which() == GossipMessage::ACK),
-              "Must check which() before get()ing a union member.");
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::FetchStatusesParams::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::getAck() {
-  KJ_IREQUIRE((which() == GossipMessage::ACK),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setAck( ::capnp::Text::Reader value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
+inline void Control::FetchStatusesParams::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::initAck(unsigned int size) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
+inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptAck(
+inline void Control::FetchStatusesParams::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::ACK);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownAck() {
-  KJ_IREQUIRE((which() == GossipMessage::ACK),
-              "Must check which() before get()ing a union member.");
+inline ::capnp::Orphan< ::capnp::Text> Control::FetchStatusesParams::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::isPingRequest() const {
-  return which() == GossipMessage::PING_REQUEST;
+inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::isPingRequest() {
-  return which() == GossipMessage::PING_REQUEST;
+inline bool Control::FetchStatusesResults::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline typename GossipMessage::PingRequest::Reader GossipMessage::Reader::getPingRequest() const {
-  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return typename GossipMessage::PingRequest::Reader(_reader);
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::FetchStatusesResults::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::getPingRequest() {
-  KJ_IREQUIRE((which() == GossipMessage::PING_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return typename GossipMessage::PingRequest::Builder(_builder);
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline typename GossipMessage::PingRequest::Builder GossipMessage::Builder::initPingRequest() {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::PING_REQUEST);
-  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
-  return typename GossipMessage::PingRequest::Builder(_builder);
+inline void Control::FetchStatusesResults::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline bool GossipMessage::Reader::isJoin() const {
-  return which() == GossipMessage::JOIN;
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline bool GossipMessage::Builder::isJoin() {
-  return which() == GossipMessage::JOIN;
+inline void Control::FetchStatusesResults::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Void GossipMessage::Reader::getJoin() const {
-  KJ_IREQUIRE((which() == GossipMessage::JOIN),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::FetchStatusesResults::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::capnp::Void GossipMessage::Builder::getJoin() {
-  KJ_IREQUIRE((which() == GossipMessage::JOIN),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Control::AnnounceStatusesParams::Reader::hasStatuses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipMessage::Builder::setJoin( ::capnp::Void value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Control::AnnounceStatusesParams::Builder::hasStatuses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool GossipMessage::Reader::isJoinAnswer() const {
-  return which() == GossipMessage::JOIN_ANSWER;
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::AnnounceStatusesParams::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool GossipMessage::Builder::isJoinAnswer() {
-  return which() == GossipMessage::JOIN_ANSWER;
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool GossipMessage::Reader::hasJoinAnswer() const {
-  if (which() != GossipMessage::JOIN_ANSWER) return false;
+inline void Control::AnnounceStatusesParams::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::AnnounceStatusesParams::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::AnnounceStatusesParams::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ConfirmReachableParams::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasJoinAnswer() {
-  if (which() != GossipMessage::JOIN_ANSWER) return false;
+inline bool Control::ConfirmReachableParams::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getJoinAnswer() const {
-  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getJoinAnswer() {
-  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setJoinAnswer( ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Control::ConfirmReachableParams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initJoinAnswer(unsigned int size) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptJoinAnswer(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<GossipMessage::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, GossipMessage::JOIN_ANSWER);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Control::ConfirmReachableParams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownJoinAnswer() {
-  KJ_IREQUIRE((which() == GossipMessage::JOIN_ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::PingRequest::Reader::hasTarget() const {
+inline bool Control::ConfirmReachableParams::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::PingRequest::Builder::hasTarget() {
+inline bool Control::ConfirmReachableParams::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTarget() const {
+inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTarget() {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::PingRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void Control::ConfirmReachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::PingRequest::Builder::adoptTarget(
+inline void Control::ConfirmReachableParams::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::PingRequest::Reader::hasTargetAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool Control::ConfirmReachableResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool GossipMessage::PingRequest::Builder::hasTargetAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline bool Control::ConfirmReachableResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader GossipMessage::PingRequest::Reader::getTargetAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Control::ConfirmReachableResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::getTargetAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool Control::ConfirmReachableResults::Reader::getReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::PingRequest::Builder::setTargetAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline bool Control::ConfirmReachableResults::Builder::getReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder GossipMessage::PingRequest::Builder::initTargetAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void Control::ConfirmReachableResults::Builder::setReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GroupCopy::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupCopy::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::PingRequest::Builder::adoptTargetAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void GroupCopy::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::PingRequest::Builder::disownTargetAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool GroupCopy::Reader::getPresent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-#if !CAPNP_LITE
-inline Control::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Control::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Control::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Control::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Control::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::pistachiowood::wire::Control::Client& Control::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline bool GroupCopy::Builder::getPresent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline  ::pistachiowood::wire::Control::Client& Control::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline void GroupCopy::Builder::setPresent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-#endif  // !CAPNP_LITE
-inline bool Control::GossipParams::Reader::hasMessage() const {
+inline bool GroupCopy::Reader::hasItems() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::GossipParams::Builder::hasMessage() {
+inline bool GroupCopy::Builder::hasItems() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::pistachiowood::wire::GossipMessage::Reader Control::GossipParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::get(_reader.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::pistachiowood::wire::GossipMessage::Builder Control::GossipParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::get(_builder.getPointerField(
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::pistachiowood::wire::GossipMessage::Pipeline Control::GossipParams::Pipeline::getMessage() {
-  return  ::pistachiowood::wire::GossipMessage::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Control::GossipParams::Builder::setMessage( ::pistachiowood::wire::GossipMessage::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::set(_builder.getPointerField(
+inline void GroupCopy::Builder::setItems( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::pistachiowood::wire::GossipMessage::Builder Control::GossipParams::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::GossipParams::Builder::adoptMessage(
-    ::capnp::Orphan< ::pistachiowood::wire::GossipMessage>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::adopt(_builder.getPointerField(
+inline void GroupCopy::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::GossipMessage> Control::GossipParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::GossipMessage>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::FetchConfigurationResults::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Control::FetchConfigurationResults::Builder::hasSnapshot() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::pistachiowood::wire::ConfigurationSnapshot::Reader Control::FetchConfigurationResults::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool GroupCopy::Reader::getPartial() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline Control::FetchConfigurationResults::Pipeline::getSnapshot() {
-  return  ::pistachiowood::wire::ConfigurationSnapshot::Pipeline(_typeless.getPointerField(0));
+
+inline bool GroupCopy::Builder::getPartial() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Control::FetchConfigurationResults::Builder::setSnapshot( ::pistachiowood::wire::ConfigurationSnapshot::Reader value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GroupCopy::Builder::setPartial(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
-inline  ::pistachiowood::wire::ConfigurationSnapshot::Builder Control::FetchConfigurationResults::Builder::initSnapshot() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t GroupCopy::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Control::FetchConfigurationResults::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot>&& value) {
-  ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t GroupCopy::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::pistachiowood::wire::ConfigurationSnapshot> Control::FetchConfigurationResults::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::pistachiowood::wire::ConfigurationSnapshot>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void GroupCopy::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::FetchStatusesParams::Reader::hasService() const {
+inline bool GroupCopy::Reader::hasRemoved() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::FetchStatusesParams::Builder::hasService() {
+inline bool GroupCopy::Builder::hasRemoved() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::FetchStatusesParams::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GroupCopy::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Control::FetchStatusesParams::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GroupCopy::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::FetchStatusesParams::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void GroupCopy::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Control::FetchStatusesParams::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::FetchStatusesParams::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void GroupCopy::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GroupCopy::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Control::FetchStatusesResults::Reader::hasStatuses() const {
+inline  ::uint64_t GroupCopy::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupCopy::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void GroupCopy::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupCopy::Reader::hasCarried() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::FetchStatusesResults::Builder::hasStatuses() {
+inline bool GroupCopy::Builder::hasCarried() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::FetchStatusesResults::Reader::getStatuses() const {
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getCarried() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::getStatuses() {
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getCarried() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Control::FetchStatusesResults::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void GroupCopy::Builder::setCarried( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::FetchStatusesResults::Builder::initStatuses(unsigned int size) {
+inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initCarried(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Control::FetchStatusesResults::Builder::adoptStatuses(
+inline void GroupCopy::Builder::adoptCarried(
     ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::FetchStatusesResults::Builder::disownStatuses() {
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownCarried() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Control::AnnounceStatusesParams::Reader::hasStatuses() const {
+inline bool GroupCopy::Reader::hasKnown() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::AnnounceStatusesParams::Builder::hasStatuses() {
+inline bool GroupCopy::Builder::hasKnown() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader Control::AnnounceStatusesParams::Reader::getStatuses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GroupCopy::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::getStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GroupCopy::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Control::AnnounceStatusesParams::Builder::setStatuses( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GroupCopy::Builder::setKnown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GroupCopy::Builder::setKnown(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder Control::AnnounceStatusesParams::Builder::initStatuses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GroupCopy::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Control::AnnounceStatusesParams::Builder::adoptStatuses(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GroupCopy::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> Control::AnnounceStatusesParams::Builder::disownStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GroupCopy::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmReachableParams::Reader::hasService() const {
+inline bool PrimaryReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmReachableParams::Builder::hasService() {
+inline bool PrimaryReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getService() const {
+inline  ::capnp::Text::Reader PrimaryReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getService() {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmReachableParams::Builder::setService( ::capnp::Text::Reader value) {
+inline void PrimaryReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmReachableParams::Builder::adoptService(
+inline void PrimaryReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmReachableParams::Reader::hasEndpoint() const {
+inline bool PrimaryReport::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Control::ConfirmReachableParams::Builder::hasEndpoint() {
+inline bool PrimaryReport::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Control::ConfirmReachableParams::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader PrimaryReport::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Control::ConfirmReachableParams::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void PrimaryReport::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Control::ConfirmReachableParams::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder PrimaryReport::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Control::ConfirmReachableParams::Builder::adoptEndpoint(
+inline void PrimaryReport::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Control::ConfirmReachableParams::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Control::ConfirmReachableResults::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
+inline  ::int64_t PrimaryReport::Reader::getReplyAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmReachableResults::Builder::getKnown() {
-  return _builder.getDataField<bool>(
+inline  ::int64_t PrimaryReport::Builder::getReplyAgeMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmReachableResults::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
+inline void PrimaryReport::Builder::setReplyAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Control::ConfirmReachableResults::Reader::getReachable() const {
-  return _reader.getDataField<bool>(
+inline  ::int64_t PrimaryReport::Reader::getFailingAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Control::ConfirmReachableResults::Builder::getReachable() {
-  return _builder.getDataField<bool>(
+inline  ::int64_t PrimaryReport::Builder::getFailingAgeMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Control::ConfirmReachableResults::Builder::setReachable(bool value) {
-  _builder.setDataField<bool>(
+inline void PrimaryReport::Builder::setFailingAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GroupCopy::Reader::getVersion() const {
+inline  ::uint64_t PrimaryReport::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupCopy::Builder::getVersion() {
+inline  ::uint64_t PrimaryReport::Builder::getEpoch() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GroupCopy::Builder::setVersion( ::uint64_t value) {
+inline void PrimaryReport::Builder::setEpoch( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupCopy::Reader::getPresent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PrimaryReport::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool GroupCopy::Builder::getPresent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PrimaryReport::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GroupCopy::Builder::setPresent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void PrimaryReport::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupCopy::Reader::hasItems() const {
+inline  ::uint64_t PrimaryReport::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrimaryReport::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PrimaryReport::Reader::getPositionAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PrimaryReport::Builder::getPositionAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PrimaryReport::Builder::setPositionAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupCopy::Builder::hasItems() {
+inline bool PeerReport::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PeerReport::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PeerReport::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GroupCopy::Builder::setItems( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void PeerReport::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder PeerReport::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GroupCopy::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void PeerReport::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GroupCopy::Reader::getPartial() const {
+inline bool PeerReport::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getObeyedRecords() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getObeyedRecords() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setObeyedRecords( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PeerReport::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerReport::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getPromise() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool GroupCopy::Builder::getPartial() {
+inline bool PeerReport::Builder::getPromise() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setPromise(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasPrimaries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasPrimaries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getPrimaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GroupCopy::Builder::setPartial(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t GroupCopy::Reader::getSince() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void PeerReport::Builder::setPrimaries( ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t GroupCopy::Builder::getSince() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initPrimaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void GroupCopy::Builder::setSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PeerReport::Builder::adoptPrimaries(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownPrimaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool GroupCopy::Reader::hasRemoved() const {
+inline bool PeerReport::Reader::hasCopies() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupCopy::Builder::hasRemoved() {
+inline bool PeerReport::Builder::hasCopies() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GroupCopy::Reader::getRemoved() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getCopies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::getRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void GroupCopy::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PeerReport::Builder::setCopies( ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void GroupCopy::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initCopies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GroupCopy::Builder::initRemoved(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void PeerReport::Builder::adoptCopies(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void GroupCopy::Builder::adoptRemoved(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GroupCopy::Builder::disownRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool PeerReport::Reader::getWantsConfiguration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupCopy::Reader::getEra() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool PeerReport::Builder::getWantsConfiguration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsConfiguration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PeerReport::Reader::getStoreConfirmedAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GroupCopy::Builder::getEra() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t PeerReport::Builder::getStoreConfirmedAgeMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GroupCopy::Builder::setEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void PeerReport::Builder::setStoreConfirmedAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GroupCopy::Reader::hasCarried() const {
+inline bool PeerReport::Reader::hasEras() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupCopy::Builder::hasCarried() {
+inline bool PeerReport::Builder::hasEras() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader GroupCopy::Reader::getCarried() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::getCarried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void GroupCopy::Builder::setCarried( ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void PeerReport::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder GroupCopy::Builder::initCarried(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void PeerReport::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void GroupCopy::Builder::adoptCarried(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>> GroupCopy::Builder::disownCarried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::StoredObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void PeerReport::Builder::adoptEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool GroupCopy::Reader::hasKnown() const {
+inline bool PeerReport::Reader::hasCarriedDigests() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool GroupCopy::Builder::hasKnown() {
+inline bool PeerReport::Builder::hasCarriedDigests() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GroupCopy::Reader::getKnown() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getCarriedDigests() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GroupCopy::Builder::getKnown() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getCarriedDigests() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void GroupCopy::Builder::setKnown( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void PeerReport::Builder::setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void GroupCopy::Builder::setKnown(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void PeerReport::Builder::setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GroupCopy::Builder::initKnown(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initCarriedDigests(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void GroupCopy::Builder::adoptKnown(
+inline void PeerReport::Builder::adoptCarriedDigests(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownCarriedDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getObeyedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getObeyedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setObeyedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getConfirmedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getConfirmedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfirmedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getWantsEra() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getWantsEra() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsEra(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getWantsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getWantsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setWantsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::getDeclinesCopies() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getDeclinesCopies() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GroupCopy::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void PeerReport::Builder::setDeclinesCopies(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PrimaryReport::Reader::hasService() const {
+inline bool AllotmentNeed::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PrimaryReport::Builder::hasService() {
+inline bool AllotmentNeed::Builder::hasCustomer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PrimaryReport::Reader::getService() const {
+inline  ::capnp::Text::Reader AllotmentNeed::Reader::getCustomer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PrimaryReport::Builder::getService() {
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::getCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PrimaryReport::Builder::setService( ::capnp::Text::Reader value) {
+inline void AllotmentNeed::Builder::setCustomer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PrimaryReport::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::initCustomer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PrimaryReport::Builder::adoptService(
+inline void AllotmentNeed::Builder::adoptCustomer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> AllotmentNeed::Builder::disownCustomer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PrimaryReport::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PrimaryReport::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PrimaryReport::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PrimaryReport::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PrimaryReport::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PrimaryReport::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PrimaryReport::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PrimaryReport::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t PrimaryReport::Reader::getReplyAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline float AllotmentNeed::Reader::getRate() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PrimaryReport::Builder::getReplyAgeMs() {
-  return _builder.getDataField< ::int64_t>(
+inline float AllotmentNeed::Builder::getRate() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setReplyAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void AllotmentNeed::Builder::setRate(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t PrimaryReport::Reader::getFailingAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline float AllotmentNeed::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PrimaryReport::Builder::getFailingAgeMs() {
-  return _builder.getDataField< ::int64_t>(
+inline float AllotmentNeed::Builder::getCapacity() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setFailingAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void AllotmentNeed::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PrimaryReport::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Reader::getLevel() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrimaryReport::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Builder::getLevel() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentNeed::Builder::setLevel(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PrimaryReport::Reader::getTerm() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Reader::getReturned() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrimaryReport::Builder::getTerm() {
-  return _builder.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Builder::getReturned() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setTerm( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentNeed::Builder::setReturned(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PrimaryReport::Reader::getPosition() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Reader::getDemand() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrimaryReport::Builder::getPosition() {
-  return _builder.getDataField< ::uint64_t>(
+inline float AllotmentNeed::Builder::getDemand() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setPosition( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentNeed::Builder::setDemand(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t PrimaryReport::Reader::getPositionAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t AllotmentNeed::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PrimaryReport::Builder::getPositionAgeMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t AllotmentNeed::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PrimaryReport::Builder::setPositionAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void AllotmentNeed::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PeerReport::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PeerReport::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PeerReport::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerReport::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool PeerReport::Reader::hasVersions() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasVersions() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getVersions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void PeerReport::Builder::setVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initVersions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PeerReport::Builder::adoptVersions(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t PeerReport::Reader::getObeyedRecords() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t AllotmentGroup::Reader::getGroup() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getObeyedRecords() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t AllotmentGroup::Builder::getGroup() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setObeyedRecords( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentGroup::Builder::setGroup( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t PeerReport::Reader::getConfirmedAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t AllotmentGroup::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t PeerReport::Builder::getConfirmedAgeMs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t AllotmentGroup::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setConfirmedAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void AllotmentGroup::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getPromise() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool PeerReport::Builder::getPromise() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void PeerReport::Builder::setPromise(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline  ::uint32_t AllotmentGroup::Reader::getFollowedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Reader::hasPrimaries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasPrimaries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getPrimaries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setPrimaries( ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initPrimaries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void PeerReport::Builder::adoptPrimaries(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint32_t AllotmentGroup::Builder::getFollowedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownPrimaries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::PrimaryReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void AllotmentGroup::Builder::setFollowedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::hasCopies() const {
+inline bool AllotmentGroup::Reader::hasNeeds() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasCopies() {
+inline bool AllotmentGroup::Builder::hasNeeds() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getCopies() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setCopies( ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initCopies(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void PeerReport::Builder::adoptCopies(
-    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::GroupCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool PeerReport::Reader::getWantsConfiguration() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader AllotmentGroup::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool PeerReport::Builder::getWantsConfiguration() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder AllotmentGroup::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setWantsConfiguration(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGroup::Builder::setNeeds( ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t PeerReport::Reader::getStoreConfirmedAgeMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder AllotmentGroup::Builder::initNeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int64_t PeerReport::Builder::getStoreConfirmedAgeMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void AllotmentGroup::Builder::adoptNeeds(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerReport::Builder::setStoreConfirmedAgeMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> AllotmentGroup::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasEras() const {
+inline bool AllotmentGrant::Reader::hasCustomer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasEras() {
+inline bool AllotmentGrant::Builder::hasCustomer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getEras() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AllotmentGrant::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getEras() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void AllotmentGrant::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void PeerReport::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initEras(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void AllotmentGrant::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PeerReport::Builder::adoptEras(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> AllotmentGrant::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownEras() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline float AllotmentGrant::Reader::getLimitRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Reader::hasCarriedDigests() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline float AllotmentGrant::Builder::getLimitRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerReport::Builder::hasCarriedDigests() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline void AllotmentGrant::Builder::setLimitRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getCarriedDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline float AllotmentGrant::Reader::getLimitBurst() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getCarriedDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline float AllotmentGrant::Builder::getLimitBurst() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setCarriedDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void AllotmentGrant::Builder::setLimitBurst(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void PeerReport::Builder::setCarriedDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+
+inline float AllotmentGrant::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initCarriedDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+
+inline float AllotmentGrant::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::adoptCarriedDigests(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void AllotmentGrant::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownCarriedDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline float AllotmentGrant::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Reader::getObeyedEra() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float AllotmentGrant::Builder::getCapacity() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AllotmentGrant::Reader::getTokens() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getObeyedEra() {
-  return _builder.getDataField< ::uint64_t>(
+inline float AllotmentGrant::Builder::getTokens() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setObeyedEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentGrant::Builder::setTokens(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerReport::Reader::getConfirmedEra() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t AllotmentGrant::Reader::getRefuseMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerReport::Builder::getConfirmedEra() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t AllotmentGrant::Builder::getRefuseMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setConfirmedEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AllotmentGrant::Builder::setRefuseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getWantsEra() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Reader::getGroup() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Builder::getWantsEra() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Builder::getGroup() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setWantsEra(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGrants::Builder::setGroup( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getWantsWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Builder::getWantsWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::uint8_t AllotmentGrants::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setWantsWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+inline void AllotmentGrants::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerReport::Reader::getDeclinesCopies() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+inline bool AllotmentGrants::Reader::hasGrants() const {
+  return !_reader.getPointerField(
