+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool PeerReport::Builder::getDeclinesCopies() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+inline bool AllotmentGrants::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerReport::Builder::setDeclinesCopies(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader AllotmentGrants::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder AllotmentGrants::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AllotmentGrants::Builder::setGrants( ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder AllotmentGrants::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AllotmentGrants::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> AllotmentGrants::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -6148,6 +7212,122 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AllotParams::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotParams::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::AllotParams::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::AllotParams::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotParams::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::AllotParams::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotParams::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::AllotParams::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::AllotParams::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AllotParams::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AllotParams::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::AllotParams::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotParams::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader Peer::AllotParams::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder Peer::AllotParams::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotParams::Builder::setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>::Builder Peer::AllotParams::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotParams::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>> Peer::AllotParams::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::AllotResults::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AllotResults::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader Peer::AllotResults::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder Peer::AllotResults::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AllotResults::Builder::setGroups( ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>::Builder Peer::AllotResults::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::AllotResults::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>> Peer::AllotResults::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pistachiowood::wire::AllotmentGrants,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
