Review: show requests lost in the last moments of a planned stop

Seen: a process that ends after SIGTERM accepts sessions and passes their requests on to backends in the 0.15 s between its last answers and its end; their connections end without an answer (rule LOST).

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -282,6 +283,7 @@
             if needed > tuple(int(part) for part in self.position().split(".")):
                 return self._fail(session, "LAGGING")
         if word in ("READ", "WRITE", "COMMIT"):
+            self.service.arrivals[identity] = self.service.record.now()
             async with self.slots:
                 await asyncio.sleep(self.service.work_s)
                 return self._data(session, identity, word, rest)
@@ -349,6 +351,7 @@
         self.backends = {}
         self.runs = {}  # id -> list of (time, backend, word, in transaction, numbers applied)
         self.commits = {}  # id of the write or COMMIT -> (time, backend, term, number)
+        self.arrivals = {}  # id -> time at which a backend received the statement
         self.signatures = 0
 
     def sign(self):
@@ -506,6 +509,36 @@
             self.process.wait()
 
 
+class Entry:
+    """The platform's entry for one zone: probes each machine once a second and chooses one for a new connection.
+
+    After two misses a machine receives no new connections until it answers 200 again; if fewer than half of the zone's
+    machines are in rotation, all of them are used.
+    """
+
+    def __init__(self, record, daemons):
+        self.record = record
+        self.daemons = daemons
+        self.misses = {daemon.name: 0 for daemon in daemons}
+        self.tasks = [asyncio.ensure_future(self._probe(daemon)) for daemon in daemons]
+
+    async def _probe(self, daemon):
+        while True:
+            ready = await daemon.ready()
+            misses = 0 if ready else self.misses[daemon.name] + 1
+            if (misses >= 2) != (self.misses[daemon.name] >= 2):
+                self.record.say(f"entry: {daemon.name} is {'out of' if misses >= 2 else 'in'} rotation")
+            self.misses[daemon.name] = misses
+            await asyncio.sleep(1)
+
+    def choose(self, client):
+        """Selects by a hash of the client."""
+        rotation = [daemon for daemon in self.daemons if self.misses[daemon.name] < 2]
+        if 2 * len(rotation) < len(self.daemons):
+            rotation = self.daemons
+        return rotation[zlib.crc32(client.encode()) % len(rotation)]
+
+
 class Deployment:
     """A small deployment: store, promotion call, services and daemons, with the bounds of ktw-cutlists."""
 
