Review: show two primaries after a machine joins during a partition

Seen: the two machines of a zone that is cut off from the platform go on renewing each other's permission without end, while a machine that joined after the cut gets another primary promoted; both zones acknowledge writes, and reads lack commits (rule STALE). As the gravest it becomes case 6; the others move up by one.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,121 +1,132 @@
-"""Two of three machines of a zone are stopped with SIGTERM; the sessions that they close reconnect."""
+"""Replicas lag, the primary leaves, and the answers of the next primary to one machine are late: stale reads there."""
 
 import asyncio
 import os
-import random
-import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common-2"))
 
-from standins import TROUBLE, Client, Closed, Entry, run_case  # noqa: E402
-
-SESSIONS = 100  # of the zone; 25 clients with 4 sessions each
-MEAN_PAUSE_S = 0.65  # 153 requests a second
-GRACE_S = 6.0
-SENT_EARLY_S = 3.0  # requests sent no later than this after SIGTERM may be cut in the last sixth of the grace
-
-
-class PoolClient:
-    """A long, mostly idle session that reconnects after a close; one read at a time."""
-
-    def __init__(self, record, entry, seed, requests):
-        self.record = record
-        self.entry = entry
-        self.name = f"client-{seed}"
-        self.random = random.Random(seed)
-        self.requests = requests  # of (id, daemon, time sent, whether it was answered)
-
-    async def work(self, until):
-        await asyncio.sleep(self.random.uniform(0, MEAN_PAUSE_S))
-        while self.record.now() < until:
-            daemon = self.entry.choose(self.name)
-            try:
-                client = await Client(self.record).open(daemon.host, daemon.ports["front"], "lookups")
-            except (Closed, OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.05)
-                continue
-            await self.use(client, daemon, until)
-            client.close()
-
-    async def use(self, client, daemon, until):
-        try:
-            while self.record.now() < until:
-                # A session that the daemon closes while it is idle is opened again at once.
-                if not await self.idle(client, self.random.expovariate(1 / MEAN_PAUSE_S)):
-                    return
-                sent = self.record.now()
-                answered = False
-                try:
-                    await client.query(f"READ item{self.random.randrange(100)}")
-                    answered = True
-                finally:
-                    self.requests.append((client.last, daemon.name, sent, self.record.now(), answered))
-        except (Closed, OSError):
-            pass
-
-    @staticmethod
-    async def idle(client, duration):
-        try:
-            await asyncio.wait_for(client.reader.read(1), duration)
-        except asyncio.TimeoutError:
-            return True
-        except OSError:
-            pass
-        return False
+from standins import TROUBLE, Client, Closed, Relay, run_case  # noqa: E402
+
+LAG_S = 3.6  # 60 ms, 60 times as late
+STALENESS_S = 2.5  # of the route "plans"
+CUT_S = float(os.environ.get("CUT", "1.6"))
+
+
+async def write_always(client, acknowledged, stop):
+    """Appends (time of the acknowledgement, term, number) of each commit."""
+    while not stop.is_set():
+        reply = await client.query("WRITE item x")
+        if reply.code is None:
+            acknowledged.append((client.record.now(), client.last))
+        elif reply.state != "I":
+            return
+        await asyncio.sleep(0.03)
+
+
+async def read_always(client, stop, pause):
+    while not stop.is_set():
+        await client.query("READ item")
+        await asyncio.sleep(pause)
+
+
+async def quietly(work):
+    try:
+        await work
+    except (Closed, OSError):
+        pass
 
 
 async def case(deployment):
     record = deployment.record
-    service = deployment.add_service("cutlist-x1", work_s=0.055)
-    for number, name in enumerate(("i-a1", "i-b2", "i-c3")):
-        await service.add(name, "tbs-didube", primary=number == 0)
-    deployment.configure(7, [{"name": "r2", "db_name": "lookups", "service": service.name, "kind": "bounded_staleness",
-                              "timeout_ms": 3000, "target_latency_ms": 1000, "max_staleness_ms": 1500, "priority": 2}])
-    daemons = [await deployment.add_daemon(f"front-{number}", "tbs-didube", f"127.0.0.1{number}")
-               for number in (1, 2, 3)]
-    for daemon in daemons:
+    service = deployment.add_service("cutlist-x1", lag_s=0.06)
+    leaving = await service.add("i-a1", "tbs-didube", primary=True)
+    await service.add("i-b2", "tbs-didube")
+    await service.add("i-c3", "tbs-didube")
+    relays = {}
+    for name, backend in service.backends.items():
+        relays[name] = Relay(backend.port)
+        await relays[name].listen()
+    routes = [
+        {"name": "r1", "db_name": "orders", "service": service.name, "kind": "primary", "timeout_ms": 1000,
+         "target_latency_ms": 400, "priority": 1},
+        {"name": "r2", "db_name": "lookups", "service": service.name, "kind": "bounded_staleness", "timeout_ms": 3000,
+         "target_latency_ms": 1000, "max_staleness_ms": 1500, "priority": 2},
+        {"name": "r3", "db_name": "plans", "service": service.name, "kind": "read_your_writes", "timeout_ms": 1000,
+         "target_latency_ms": 800, "max_staleness_ms": 2500, "priority": 2}]
+    deployment.configure(7, routes)
+    # The machine that loses the path from the next primary for a moment reaches the backends through relays.
+    victim = await deployment.add_daemon(os.environ.get("VICTIM", "front-1"), "tbs-didube", "127.0.0.11", [
+        (f"127.0.0.1:{backend.port}", f"127.0.0.1:{relays[name].port}") for name, backend in service.backends.items()])
+    other = await deployment.add_daemon(os.environ.get("OTHER", "front-2"), "tbs-didube", "127.0.0.12")
+    third = await deployment.add_daemon("front-3", "tbs-didube", "127.0.0.13")
+    for daemon in (victim, other, third):
         daemon.start()
     await deployment.wait_ready()
-    await asyncio.sleep(4)
-    entry = Entry(record, daemons)
-    requests = []
-    end = record.now() + 12
-    tasks = [asyncio.ensure_future(PoolClient(record, entry, seed, requests).work(end)) for seed in range(SESSIONS)]
-    await asyncio.sleep(3)
-    stopped = {}
-    ended = {}
+    await asyncio.sleep(3.5)
+
+    stop = asyncio.Event()
+    acknowledged = []
+    readers = [Client(record) for _ in range(6)]
+    tasks = []
+    writer = await Client(record).open(other.host, other.ports["front"], "orders")
+    tasks.append(asyncio.ensure_future(quietly(write_always(writer, acknowledged, stop))))
+    for number, reader in enumerate(readers):
+        await reader.open(victim.host, victim.ports["front"], "lookups" if number < 4 else "plans")
+        tasks.append(asyncio.ensure_future(quietly(read_always(reader, stop, 0.02))))
+    await asyncio.sleep(2)
     if TROUBLE:
-        for daemon in daemons[:2]:
-            daemon.send(signal.SIGTERM)
-            stopped[daemon.name] = record.now()
-        for _ in range(int(GRACE_S * 20)):
-            await asyncio.sleep(0.05)
-            for daemon in daemons[:2]:
-                if daemon.name not in ended and daemon.process.poll() is not None:
-                    ended[daemon.name] = record.now()
-                    record.say(f"{daemon.name} has ended, {ended[daemon.name] - stopped[daemon.name]:.2f} s after "
-                               f"SIGTERM")
-                    daemon.start()  # a process that exits is restarted
-    await asyncio.wait(tasks, timeout=15)
+        service.lag_s = LAG_S
+        record.say(f"the replicas apply {LAG_S} s late from now on")
+        await asyncio.sleep(1.0)
+        relays["i-b2"].backward.cut(True)
+        record.say("what i-b2 sends to one machine is held up")
+        leaving.state = "draining"
+        leaving.report()
+        record.say("the primary i-a1 reports draining")
+        await asyncio.sleep(CUT_S)
+        relays["i-b2"].backward.cut(False)
+        record.say("what i-b2 sent arrives")
+        # More sessions read; those of before may wait for answers.
+        for _ in range(4):
+            reader = Client(record)
+            readers.append(reader)
+            await reader.open(victim.host, victim.ports["front"], "plans")
+            tasks.append(asyncio.ensure_future(quietly(read_always(reader, stop, 0.02))))
+        await asyncio.sleep(1.5)
+        service.lag_s = 0.06
+    await asyncio.sleep(2)
+    stop.set()
+    await asyncio.wait(tasks, timeout=5)
+
+    ends = {backend.identity: backend.log for backend in service.backends.values()}
+    final = max(service.backends.values(), key=lambda backend: (backend.primary, backend.term))
+    kept = {statement[0]: (entry.term, entry.number) for entry in ends[final.identity] for statement in entry.statements}
     broken = 0
-    unread = 0
-    for identity, name, sent, at, answered in requests:
-        if answered or name not in stopped:
-            continue
-        after = sent - stopped[name]
-        arrived = service.arrivals.get(identity)
-        if arrived is None or not SENT_EARLY_S < after < GRACE_S + 1:
-            unread += 1
-            continue
-        broken += 1
-        if broken <= 8:
-            record.say(f"LOST: READ {identity}, sent to {name} {after:.3f} s after SIGTERM, reached a backend after "
-                       f"{arrived - sent:.3f} s; the connection ended after {at - sent:.3f} s without an answer")
-    record.say(f"{len(requests)} requests sent; {broken} were passed on to a backend and lost, {unread} others got no "
-               f"answer from a machine that stopped")
-    if len(requests) < 500:
+    checked = 0
+    worst = 0.0
+    for number, reader in enumerate(readers):
+        limit = 1.5 if number < 4 else STALENESS_S
+        for identity, sent in reader.sent.items():
+            for at, backend, word, _, position in service.runs.get(identity, []):
+                if word != "READ":
+                    continue
+                checked += 1
+                held = int(position.split(".")[1])
+                missed = [(time, write) for time, write in acknowledged
+                          if time < sent - limit and write in kept and kept[write][1] > held]
+                if missed:
+                    broken += 1
+                    worst = max(worst, sent - missed[0][0])
+                    if broken <= 5:
+                        record.say(f"STALE: READ {identity}, sent at {sent:.3f} s, ran at {at:.3f} s on {backend} at "
+                                   f"{position}, which lacks {len(missed)} commits; the oldest, {missed[0][1]} "
+                                   f"({kept[missed[0][1]][0]}.{kept[missed[0][1]][1]}), was acknowledged at "
+                                   f"{missed[0][0]:.3f} s, {sent - missed[0][0]:.3f} s before")
+    record.say(f"{len(acknowledged)} writes acknowledged; {checked} reads ran, {broken} of them on a log that was too "
+               f"old (at most {worst:.2f} s)")
+    if checked < 100 or len(acknowledged) < 50:
         return 2
     return 1 if broken else 0
 
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -70,6 +70,20 @@
     return (b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text))) + text
 
 
+class Link:
+    """A path between two parts; while it is cut, nothing passes, and what was sent waits."""
+
+    def __init__(self):
+        self.open_way = asyncio.Event()
+        self.open_way.set()
+
+    def cut(self, is_cut):
+        (self.open_way.clear if is_cut else self.open_way.set)()
+
+    async def passed(self):
+        await self.open_way.wait()
+
+
 class Store:
     """The platform's metadata store: objects by kind and name, one revision counter, watches, conditional changes."""
 
@@ -107,14 +121,15 @@
         async with self.news:
             self.news.notify_all()
 
-    async def listen(self, host, rewrites=()):
+    async def listen(self, host, rewrites=(), link=None):
         """Opens one more address of the store; `rewrites` replaces addresses in its answers, as a relay would."""
-        server = await asyncio.start_server(lambda r, w: self._serve(r, w, dict(rewrites)), host, 0)
+        server = await asyncio.start_server(lambda r, w: self._serve(r, w, dict(rewrites), link or Link()), host, 0)
         return server.sockets[0].getsockname()[1]
 
-    async def _serve(self, reader, writer, rewrites):
+    async def _serve(self, reader, writer, rewrites, link):
         try:
             while request := await read_request(reader):
+                await link.passed()
                 await asyncio.sleep(self.ANSWER_S / 2)
                 answer = answer_bytes(*await self._handle(*request))
                 for old, new in rewrites.items():
@@ -122,6 +137,7 @@
                         head, _, text = answer.partition(b"\r\n\r\n")
                         answer = answer_bytes(int(head.split()[1]), json.loads(text.replace(old.encode(), new.encode())))
                 await asyncio.sleep(self.ANSWER_S / 2)
+                await link.passed()
                 writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -200,7 +216,8 @@
 
     async def _beat(self):
         while True:
-            self.report()
+            if self.identity not in self.service.isolated:
+                self.report()
             await asyncio.sleep(1.2)
 
     def report(self):
@@ -349,6 +366,7 @@
         self.lag_s = lag_s
         self.promote_s = promote_s
         self.backends = {}
+        self.isolated = set()  # backends that the others and the platform do not reach
         self.runs = {}  # id -> list of (time, backend, word, in transaction, numbers applied)
         self.commits = {}  # id of the write or COMMIT -> (time, backend, term, number)
         self.arrivals = {}  # id -> time at which a backend received the statement
@@ -376,28 +394,31 @@
         return backend
 
     def replicate(self, source, entry):
-        if source.term != max(backend.term for backend in self.backends.values()):
+        reached = [backend for backend in self.backends.values()
+                   if (backend.identity in self.isolated) == (source.identity in self.isolated)]
+        if source.term != max(backend.term for backend in reached):
             return
-        for backend in self.backends.values():
+        for backend in reached:
             if backend is not source and len(backend.log) + 1 == source.log.index(entry) + 1:
                 backend.receive(entry)
 
     async def promote(self, identity):
         chosen = self.backends.get(identity)
-        if not chosen:
+        if not chosen or identity in self.isolated:
             return 409
         if chosen.primary:
             return 200
         await asyncio.sleep(self.promote_s)
         term = max(backend.term for backend in self.backends.values()) + 1
-        for backend in self.backends.values():
+        reached = [backend for backend in self.backends.values() if backend.identity not in self.isolated]
+        for backend in reached:
             backend.term = term
             backend.primary = backend is chosen
             del backend.log[len(chosen.log):]
             backend.applied = min(backend.applied, len(backend.log))
         chosen.applied = len(chosen.log)
         self.record.say(f"platform: {identity} leads term {term}")
-        for backend in self.backends.values():
+        for backend in reached:
             backend.report()
         return 200
 
@@ -409,13 +430,14 @@
         self.record = record
         self.services = services
 
-    async def listen(self, host):
-        server = await asyncio.start_server(self._serve, host, 0)
+    async def listen(self, host, link=None):
+        server = await asyncio.start_server(lambda r, w: self._serve(r, w, link or Link()), host, 0)
         return server.sockets[0].getsockname()[1]
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, link):
         try:
             while request := await read_request(reader):
+                await link.passed()
                 _, _, headers, body = request
                 self.record.say(f"platform: POST /promotion {body} by {headers.get('x-lease-holder')} "
                                 f"with token {headers.get('x-fencing-token')}")
@@ -429,34 +451,32 @@
 
 
 class Relay:
-    """Forwards connections; while `held`, what the target sends waits and is delivered later, as behind a partition."""
+    """Forwards connections. What is sent over a link that is cut waits and is delivered later."""
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, forward=None, backward=None):
         self.target_port = target_port
-        self.open_way = asyncio.Event()
-        self.open_way.set()
+        self.forward = forward or Link()
+        self.backward = backward or Link()
 
     async def listen(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
         return self.port
 
-    def hold(self, held):
-        (self.open_way.clear if held else self.open_way.set)()
-
     async def _serve(self, reader, writer):
         try:
             target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self._copy(reader, target_writer, False), self._copy(target_reader, writer, True))
+        await asyncio.gather(self._copy(reader, target_writer, self.forward),
+                             self._copy(target_reader, writer, self.backward))
 
-    async def _copy(self, reader, writer, backward):
+    @staticmethod
+    async def _copy(reader, writer, link):
         try:
             while data := await reader.read(65536):
-                if backward:
-                    await self.open_way.wait()
+                await link.passed()
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
@@ -564,12 +584,12 @@
             "limits": {"tx_idle_ms": tx_idle_ms}})
         self.record.say(f"operator: version {version} with the routes {[route['db_name'] for route in routes]}")
 
-    async def add_daemon(self, name, zone, host, rewrites=()):
+    async def add_daemon(self, name, zone, host, rewrites=(), link=None):
         if self.ports is None:
             numbers = free_ports(5, host)
             self.ports = dict(zip(("front", "ready", "control", "internal", "last"), numbers))
-        store_port = await self.store.listen("127.0.0.1", rewrites)
-        cloud_port = await self.cloud.listen("127.0.0.1")
+        store_port = await self.store.listen("127.0.0.1", rewrites, link)
+        cloud_port = await self.cloud.listen("127.0.0.1", link)
 
         def settings(vm, vm_zone, ip, ports):
             zones = "".join(f'{zone} = "{region}"\n' for zone, region in self.zones.items())
@@ -688,14 +708,21 @@
             raise Closed(line)
         return self
 
-    async def query(self, text, limit_s=10):
+    async def _send(self, message, piece, round_trip_s):
+        """Sends a message; a large one in pieces, each of them a round trip after the one before."""
+        for start in range(0, len(message), piece):
+            if start > 0:
+                await asyncio.sleep(round_trip_s)
+            self.writer.write(message[start:start + piece])
+
+    async def query(self, text, limit_s=10, piece=2**20, round_trip_s=0.006):
         self.statements += 1
         identity = f"{self.name}-{self.statements}"
         self.last = identity
-        self.record.add(f"client {identity} sends {text}")
+        self.record.add(f"client {identity} sends {text[:60]}")
         self.sent[identity] = self.record.now()
         try:
-            self.writer.write(f"QUERY {identity} {text}\r\n".encode())
+            await self._send(f"QUERY {identity} {text}\r\n".encode(), piece, round_trip_s)
             rows, code, result = [], None, None
             while True:
                 line = (await asyncio.wait_for(self.reader.readline(), limit_s)).decode().rstrip("\r\n")
@@ -726,7 +753,7 @@
     """Runs the coroutine function `case(deployment)`; exits with 0, 1 or 2 as the case says."""
     async def main():
         status = 2
-        deployment = Deployment(folder, {"tbs-didube": "tbilisi"})
+        deployment = Deployment(folder, {"tbs-didube": "tbilisi", "tbs-gldani": "tbilisi", "kut-east": "kutaisi"})
         try:
             status = await asyncio.wait_for(case(deployment), 110)
         except Exception as failure:  # the case could not run
