Log which request a primary's position comes from, and what a stop leaves unanswered

The logs said neither which position a replica had to hold, nor whether statements ran when the loops stopped.

Change: events 1522 and 1523 give the position, its source (own reply or peer), the age of the request and of the primary's epoch, once an epoch each; event 1208 the statements that run at the end of the grace period; event 1002 those that never got an answer. No behaviour changes.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -30,6 +30,8 @@
     EVENT(SessionsRefused, 1206, Info, "sessions refused since the start, by reason")                      \
     EVENT(SessionsWithdrawn, 1207, Info,                                                                   \
           "sessions end because a new configuration no longer entitles them")                              \
+    EVENT(StatementsAbandoned, 1208, Info,                                                                 \
+          "grace period ends; running statements are answered with what is known of them")                 \
     EVENT(AllotmentCoordinator, 1210, Info,                                                                \
           "this daemon starts or stops to divide the limits of a group of customers")                      \
     EVENT(AllotmentCoordinatorLost, 1211, Warning,                                                         \
@@ -71,6 +73,10 @@
     EVENT(PrimaryWithheld, 1520, Warning, "replacement waits before it chooses a primary")                 \
     EVENT(OlderTermPromoted, 1521, Warning,                                                                \
           "no holder of the newest term came back; a log of an older term is promoted")                    \
+    EVENT(PrimaryPositionKnown, 1522, Info,                                                                \
+          "first log position of a primary in its epoch is known")                                         \
+    EVENT(EarlyPositionReported, 1523, Info,                                                               \
+          "primary answered a request from before its epoch with its log position")                        \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -201,7 +201,7 @@
     daemon.control.run();
     daemon.traffic.stop();
     trafficThread.join();
-    logEvent(Event::DaemonStopped);
+    logEvent(Event::DaemonStopped, {{"unanswered", daemon.gateway.runningStatements()}});
     return {};
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -123,8 +123,11 @@
     admission_.setCustomers(view_->customers, view_->daemonCount);
     for (const auto &[name, service] : view_->services) {
         ServiceState &state = services_[name];
-        if (state.positions.primaryEpoch() != service.primaryEpoch)
+        if (state.positions.primaryEpoch() != service.primaryEpoch) {
             state.positionWait.reset();
+            state.epochSince = clock_.now();
+            state.loggedEarlyPosition = false;
+        }
         state.positions.setPrimaryEpoch(service.primaryEpoch);
         updatePools(service, state);
     }
@@ -251,7 +254,7 @@
         // Without the permission at that time, the endpoint may have been replaced as primary and
         // lack newer commits.
         if (requestedAt < permittedUntil_)
-            recordPrimaryPosition(services_[service], {requestedAt, position});
+            recordPrimaryPosition(*found, {requestedAt, position}, "reply");
         return;
     }
     const auto reached = history.reachedAt(position);
@@ -266,11 +269,34 @@
     const ServiceView *found = findService(service);
     if (found && found->primary && found->primaryEpoch == primaryEpoch
         && sample.requestedAt < permittedUntil_)
-        recordPrimaryPosition(services_[service], sample);
+        recordPrimaryPosition(*found, sample, "peer");
+}
+
+// Tells from which request a position comes: `asked_ms` is the time since then, `epoch_ms` the time
+// for which this daemon has used the primary.
+void Gateway::logPosition(Event event, const ServiceView &service,
+                          const PositionHistory::Sample &sample, std::string_view source) const
+{
+    const TimePoint now = clock_.now();
+    const TimePoint since = services_.at(service.name).epochSince;
+    logEvent(event, {{"service", service.name.value()},
+                     {"endpoint", service.primary->value()},
+                     {"term", sample.position.term.value()},
+                     {"number", sample.position.number.value()},
+                     {"source", source},
+                     {"asked_ms",
+                      std::chrono::duration_cast<Milliseconds>(now - sample.requestedAt).count()},
+                     {"epoch_ms", std::chrono::duration_cast<Milliseconds>(now - since).count()}});
 }
 
-void Gateway::recordPrimaryPosition(ServiceState &state, PositionHistory::Sample sample)
+void Gateway::recordPrimaryPosition(const ServiceView &service, PositionHistory::Sample sample,
+                                    std::string_view source)
 {
+    ServiceState &state = services_[service.name];
+    if (!state.positions.newestSample())
+        logPosition(Event::PrimaryPositionKnown, service, sample, source);
+    if (sample.requestedAt < state.epochSince && !std::exchange(state.loggedEarlyPosition, true))
+        logPosition(Event::EarlyPositionReported, service, sample, source);
     state.positions.record(sample.requestedAt, sample.position);
     if (!state.positionWait.finish())
         return;
@@ -340,6 +366,13 @@
     return found != sessions_.end() && found->second->isBusy();
 }
 
+std::size_t Gateway::runningStatements() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(),
+                      [](const auto &entry) { return entry.second->isBusy(); }));
+}
+
 std::size_t Gateway::heldBytes(SessionId session) const
 {
     const auto found = sessions_.find(session);
@@ -448,6 +481,8 @@
 
 void Gateway::abandonStatements()
 {
+    logEvent(Event::StatementsAbandoned,
+             {{"running", runningStatements()}, {"sessions", sessions_.size()}});
     forEachSession([](CallerSession &session) { session.abandonStatementAndClose(); });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef PISTACHIOWOOD_GATEWAY_GATEWAY_H
 #define PISTACHIOWOOD_GATEWAY_GATEWAY_H
 
+#include "base/log_events.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway_context.h"
 #include "gateway/position_wait.h"
@@ -73,6 +74,8 @@
     void closeSession(SessionId session);
     /// Whether the session runs a statement; further ones are best kept until it has replied.
     bool isBusy(SessionId session) const;
+    /// Number of sessions that run a statement.
+    std::size_t runningStatements() const;
     /// Memory that the session holds for its caller.
     std::size_t heldBytes(SessionId session) const;
     /// Bounds the variables and prepared statements of each session that is opened later.
@@ -97,6 +100,8 @@
     {
         PositionHistory positions;
         PositionWait positionWait;
+        TimePoint epochSince{}; ///< when the primary epoch of the view began
+        bool loggedEarlyPosition = false; ///< in this epoch
         std::map<EndpointId, std::unique_ptr<ConnectionPool>> pools;
     };
 
@@ -113,7 +118,10 @@
     TimePoint firstViewAt() const override { return firstViewAt_; }
 
     void updatePools(const ServiceView &service, ServiceState &state);
-    void recordPrimaryPosition(ServiceState &state, PositionHistory::Sample sample);
+    void recordPrimaryPosition(const ServiceView &service, PositionHistory::Sample sample,
+                               std::string_view source);
+    void logPosition(Event event, const ServiceView &service, const PositionHistory::Sample &sample,
+                     std::string_view source) const;
     void recordPosition(const ServiceName &service, const EndpointId &endpoint,
                         TimePoint requestedAt, TermPosition position);
     void forEachSession(const std::function<void(CallerSession &)> &function);
