Count a reported log position for the role at the time of its request

Cause: Gateway::recordPosition() took the position of any reply from the view's primary as one of the primary, also if the request was sent while the endpoint was a lagging replica. Being older, that sample became the position that covers the commits of its time, and replicas served reads at it.

The first position of the epoch, from a peer, was right, which rules out the peers and the promotion.

Change: replies to requests from before the view's primary epoch are ignored, for the primary's positions and for the lag of replicas. Positions from peers are of the sender's epoch and stay; they were checked before. Nothing is refused: reads wait for a position of the epoch or use the primary, as after every change.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -75,8 +75,8 @@
           "no holder of the newest term came back; a log of an older term is promoted")                    \
     EVENT(PrimaryPositionKnown, 1522, Info,                                                                \
           "first log position of a primary in its epoch is known")                                         \
-    EVENT(EarlyPositionReported, 1523, Info,                                                               \
-          "primary answered a request from before its epoch with its log position")                        \
+    EVENT(EarlyPositionIgnored, 1523, Info,                                                                \
+          "log position in a reply to a request from before the primary's epoch is ignored")               \
     EVENT(MemberAlive, 1600, Info, "member is alive")                                                      \
     EVENT(MemberSuspected, 1601, Warning, "member does not answer and is suspected")                       \
     EVENT(MemberDead, 1602, Warning, "member is considered dead")                                          \
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -249,15 +249,23 @@
     const ServiceView *found = findService(service);
     if (!found)
         return;
-    PositionHistory &history = services_[service].positions;
-    if (found->primary == endpoint) {
+    ServiceState &state = services_[service];
+    const bool isPrimary = found->primary == endpoint;
+    // The endpoint answered in its former role, perhaps long ago: its position says nothing about
+    // the commits of this epoch's primary.
+    if (requestedAt < state.epochSince) {
+        if (isPrimary && !std::exchange(state.loggedEarlyPosition, true))
+            logPosition(Event::EarlyPositionIgnored, *found, {requestedAt, position}, "reply");
+        return;
+    }
+    if (isPrimary) {
         // Without the permission at that time, the endpoint may have been replaced as primary and
         // lack newer commits.
         if (requestedAt < permittedUntil_)
             recordPrimaryPosition(*found, {requestedAt, position}, "reply");
         return;
     }
-    const auto reached = history.reachedAt(position);
+    const auto reached = state.positions.reachedAt(position);
     const auto lag = reached ? std::chrono::duration_cast<Milliseconds>(clock_.now() - *reached)
                              : Milliseconds(0);
     replicaLags_[endpoint].recordPosition(position, std::max(lag, Milliseconds(0)), clock_.now());
@@ -295,8 +303,6 @@
     ServiceState &state = services_[service.name];
     if (!state.positions.newestSample())
         logPosition(Event::PrimaryPositionKnown, service, sample, source);
-    if (sample.requestedAt < state.epochSince && !std::exchange(state.loggedEarlyPosition, true))
-        logPosition(Event::EarlyPositionReported, service, sample, source);
     state.positions.record(sample.requestedAt, sample.position);
     if (!state.positionWait.finish())
         return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,6 +122,8 @@
                                std::string_view source);
     void logPosition(Event event, const ServiceView &service, const PositionHistory::Sample &sample,
                      std::string_view source) const;
+    /// Records a position that an endpoint reported. It counts for the role that the endpoint had
+    /// when the request was sent.
     void recordPosition(const ServiceName &service, const EndpointId &endpoint,
                         TimePoint requestedAt, TermPosition position);
     void forEachSession(const std::function<void(CallerSession &)> &function);
--- a/src/gateway/gateway_fixture.h
+++ b/src/gateway/gateway_fixture.h
@@ -118,6 +118,17 @@
         return count;
     }
 
+    /// Answers the statements that the endpoint has received while it was silent.
+    void answerHeldStatements(const EndpointId &id)
+    {
+        const auto connections = open_;
+        for (Connection *connection : connections) {
+            while (open_.count(connection) > 0 && connection->endpoint == id
+                   && !connection->pending.empty())
+                answer(*connection);
+        }
+    }
+
     void breakConnections(const EndpointId &id)
     {
         const auto connections = open_;
--- a/src/gateway/position_history.h
+++ b/src/gateway/position_history.h
@@ -11,7 +11,8 @@
 namespace pistachiowood {
 
 /// Log positions that the primary of one service reported, by the time of the request: every commit
-/// acknowledged before that time lies at or below the reported position.
+/// acknowledged before that time lies at or below the reported position. Samples must come from
+/// requests that were sent while the endpoint was the primary of this epoch.
 class PositionHistory
 {
 public:
