Count a reply from the send time of its own statement

If a process is suspended between two statements that it sends ahead on a connection, the position in the first reply counted as one of the time after the suspension, so that reads could miss the commits in between (STALE).

Cause: a pooled connection kept only the time of its last statement.

Change: it keeps the send time of each statement without a reply; positions and latencies use the one that the reply answers.

Test: ConnectionPool positionCountsFromTheStatementThatItAnswers, with a clock that advances 2 s between two statements, failed on the former code (the first reply counted from the second statement) and passes. The groups Gateway, CustomerSessions, PrimaryPosition and CallerListener pass.

--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -46,8 +46,8 @@
 
 void PooledConnection::send(const SessionStatement &statement)
 {
-    ++outstanding_;
     lastSend_ = pool_.clock_.now();
+    sendTimes_.push_back(lastSend_);
     connection_->send(statement);
 }
 
@@ -278,7 +278,7 @@
         meanUseMs_ += useTimeWeight * (held - meanUseMs_);
     }
     connection.user_ = nullptr;
-    if (connection.outstanding_ > 0) {
+    if (connection.outstanding() > 0) {
         discard(connection);
         return;
     }
@@ -340,15 +340,16 @@
 
 void ConnectionPool::handleReply(PooledConnection &connection, StatementReply reply)
 {
-    if (connection.outstanding_ == 0) {
+    if (connection.outstanding() == 0) {
         handleFailed(connection, ConnectionFailure::Lost, "a reply without a statement");
         return;
     }
-    --connection.outstanding_;
+    const TimePoint sentAt = connection.sendTimes_.front();
+    connection.sendTimes_.erase(connection.sendTimes_.begin());
     connection.phase_ = reply.phase;
-    recordReply(connection.lastSend_);
+    recordReply(sentAt);
     if (reply.position)
-        positionHandler_(connection.lastSend_, *reply.position);
+        positionHandler_(sentAt, *reply.position);
     if (connection.state_ == PooledConnection::State::RollingBack) {
         if (reply.phase == SessionPhase::Idle)
             release(connection);
@@ -425,7 +426,7 @@
                    > budget_.idleTimeout(connections_.size() - toClose.size(), now))
             toClose.push_back(id);
         const bool awaitsReply =
-            connection->outstanding_ > 0 || connection->state_ == PooledConnection::State::Opening;
+            connection->outstanding() > 0 || connection->state_ == PooledConnection::State::Opening;
         const bool silent = awaitsReply && now - connection->lastSend_ > replyTimeout
                             && (!lastReply_ || *lastReply_ < connection->lastSend_);
         if (silent && !failingSince_)
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -54,7 +54,7 @@
 
     void send(const SessionStatement &statement);
     ConnectionPool &pool() { return pool_; }
-    std::size_t outstanding() const { return outstanding_; }
+    std::size_t outstanding() const { return sendTimes_.size(); }
 
     EndpointSessionState sessionState; ///< state at the endpoint once all statements have replies
 
@@ -72,7 +72,7 @@
     std::unique_ptr<EndpointConnection> connection_;
     State state_ = State::Opening;
     ConnectionUser *user_ = nullptr;
-    std::size_t outstanding_ = 0;
+    std::vector<TimePoint> sendTimes_; ///< of the statements without a reply, oldest first
     SessionPhase phase_ = SessionPhase::Idle;
     TimePoint lastSend_{};
     TimePoint idleSince_{};
