Refuse sessions and statements once a planned stop has answered the running ones

Cause: after Gateway::abandonStatements() the loops go on for 150 ms so that the replies leave. Meanwhile sessions were opened and statements run as ever; the callers whose sessions had just been closed came back at once.

Evidence: events 1208 and 1002 on the former code: 0 and 1 statements run when the grace period ends, 2 and 1 others are unanswered at the exit 152 ms later. So the running ones are answered, and later ones are taken.

Change: from then on no statement of a caller reaches an endpoint. START gets BUSY, statements get ABORTED, both true; also a START that waits for the configuration, statements sent ahead, and those that have arrived and were not read, which were cut before. Both steps run in the traffic thread.

The soak now fails on a stop with an unanswered statement.

--- a/src/daemon/session_daemon.cpp
+++ b/src/daemon/session_daemon.cpp
@@ -16,7 +16,7 @@
 constexpr int drainDelayDivisor = 3; // draining starts within a third of the grace period
 // The daemon stops this long before the end of the grace period, so that it is not killed.
 constexpr Milliseconds exitReserve{500};
-constexpr Milliseconds lastRepliesDelay{150}; // for sending the replies to abandoned statements
+constexpr Milliseconds lastRepliesDelay{150}; // for sending replies and refusals
 constexpr Milliseconds drainPollInterval{50};
 constexpr Milliseconds readinessUpdateInterval{50};
 constexpr Milliseconds allotmentTick{50}; // well below the delay of the first probe
@@ -59,7 +59,7 @@
             const bool wasConfigured = gateway.configured();
             gateway.setView(view);
             if (!wasConfigured)
-                callers->handleConfigured();
+                callers->startWaitingSessions();
             control.post(onApplied);
         });
     }
@@ -136,21 +136,28 @@
         control.startTimer(settings.gracePeriod / 2,
                            [this] { traffic.post([this] { gateway.abortTransactions(); }); });
         control.startTimer(std::max(settings.gracePeriod - exitReserve, settings.gracePeriod / 2),
-                           [this] {
-                               traffic.post([this] { gateway.abandonStatements(); });
-                               control.startTimer(lastRepliesDelay, [this] {
-                                   traffic.stop();
-                                   control.stop();
-                               });
-                           });
+                           [this] { traffic.post([this] { finishTraffic(); }); });
+    }
+
+    // Runs in the traffic thread, whose loop goes on until the replies are sent.
+    void finishTraffic()
+    {
+        gateway.abandonStatements();
+        callers->startWaitingSessions();
+        traffic.startTimer(lastRepliesDelay, [this] { stopLoops(); });
+    }
+
+    void stopLoops()
+    {
+        control.stop();
+        traffic.stop();
     }
 
     // Runs in the traffic thread.
     void pollDrain()
     {
         if (callers->openConnections() == 0) {
-            control.stop();
-            traffic.stop();
+            stopLoops();
             return;
         }
         traffic.startTimer(drainPollInterval, [this] { pollDrain(); });
--- a/src/daemon/session_daemon.h
+++ b/src/daemon/session_daemon.h
@@ -18,8 +18,8 @@
 public:
     virtual ~CallerListener() = default;
     virtual Result<void> listen() = 0;
-    /// Called once the gateway has a configuration; starts the sessions that wait for it.
-    virtual void handleConfigured() = 0;
+    /// Starts or refuses the sessions that waited until the gateway answers them.
+    virtual void startWaitingSessions() = 0;
     virtual std::size_t openConnections() const = 0;
 };
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -75,9 +75,11 @@
 
 void CallerSession::startStatement(SessionStatement statement)
 {
-    if (withdrawn_) {
+    if (withdrawn_ || stopping_) {
         endTransaction();
-        replyLocally(ReplyCode::Aborted, "the session is no longer entitled to the database");
+        replyLocally(ReplyCode::Aborted, stopping_
+                                             ? "the daemon stops"
+                                             : "the session is no longer entitled to the database");
         return;
     }
     if (transaction_)
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -62,7 +62,8 @@
     /// Aborts an open transaction and closes the session, after the running statement if there is
     /// one.
     void abortTransactionAndClose();
-    /// Answers the running statement with what is known of it and closes the session.
+    /// Answers the running statement with what is known of it, refuses all that arrive later and
+    /// closes the session.
     void abandonStatementAndClose();
 
     void handleConnectionGranted(PooledConnection &connection) override;
@@ -165,6 +166,7 @@
     bool transactionFailed_ = false; ///< until the caller ends it by a commit or rollback
     bool draining_ = false;
     bool withdrawn_ = false; ///< no longer entitled; runs no further statement
+    bool stopping_ = false; ///< the daemon stops; runs no further statement
     bool abortRequested_ = false; ///< abortTransactionAndClose() was called
     std::optional<Execution> execution_;
     PooledConnection *connection_ = nullptr;
--- a/src/gateway/caller_work.cpp
+++ b/src/gateway/caller_work.cpp
@@ -531,18 +531,12 @@
 
 void CallerSession::abandonStatementAndClose()
 {
+    stopping_ = true;
     abortRequested_ = true;
-    const std::size_t queued = std::exchange(queuedStatements_, {}).size();
     if (execution_)
-        handleTimeout();
-    for (std::size_t i = 0; i < queued; ++i) { // they did not run; none of a transaction is kept
-        StatementReply reply;
-        reply.failure = ReplyCode::Aborted;
-        reply.message = "the daemon stops";
-        reply.phase = phase();
-        channel_.sendReply(reply);
-    }
-    channel_.terminate();
+        handleTimeout(); // refuses the queued statements too
+    else
+        abortTransactionAndClose();
 }
 
 void CallerSession::failStatement(ReplyCode code, const std::string &message)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -330,6 +330,8 @@
 
 Gateway::SessionOutcome Gateway::openSession(const SessionRequest &request, CallerChannel &channel)
 {
+    if (stopping_)
+        return refuseSession(SessionRefusals::Reason::Stopping);
     const auto route = view_->routes.find(request.database);
     if (route == view_->routes.end())
         return refuseSession(SessionRefusals::Reason::NoDatabase);
@@ -487,6 +489,7 @@
 
 void Gateway::abandonStatements()
 {
+    stopping_ = true;
     logEvent(Event::StatementsAbandoned,
              {{"running", runningStatements()}, {"sessions", sessions_.size()}});
     forEachSession([](CallerSession &session) { session.abandonStatementAndClose(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,8 @@
 
     /// True once a configuration is known. Before that no database may be refused as unknown.
     bool configured() const { return view_->configurationVersion != 0; }
+    /// Whether openSession() opens or refuses sessions; until then, requests for them wait.
+    bool answersSessions() const { return configured() || stopping_; }
     /// Opens a session with a database. Refused if the database has no route, or if its route needs
     /// a key and the caller's belongs to no customer.
     SessionOutcome openSession(const SessionRequest &request, CallerChannel &channel);
@@ -91,7 +93,8 @@
     /// Aborts open transactions, after the running statement if there is one, and closes the
     /// sessions.
     void abortTransactions();
-    /// Answers all running statements with what is known of them and closes the sessions.
+    /// Answers all running statements with what is known of them and closes the sessions. Further
+    /// sessions and statements are refused: no statement of a caller reaches an endpoint any more.
     void abandonStatements();
 
 private:
@@ -153,6 +156,7 @@
     std::uint64_t lastQuery_ = 0;
     SessionRefusals refusals_;
     bool draining_ = false;
+    bool stopping_ = false; ///< abandonStatements() was called
     bool probing_ = true;
     unsigned ticks_ = 0;
     ReachabilityHandler reachabilityHandler_;
--- a/src/gateway/session_refusals.cpp
+++ b/src/gateway/session_refusals.cpp
@@ -21,6 +21,7 @@
     {"no_database", {ReplyCode::NoDatabase, "no route has this database"}},
     {"no_key", {ReplyCode::NotAuthorized, "the key is missing or not known"}},
     {"unknown_key", {ReplyCode::NotAuthorized, "the key is missing or not known"}},
+    {"stopping", {ReplyCode::Busy, "the daemon stops"}},
 }};
 
 } // namespace
@@ -52,7 +53,8 @@
     loggedCounts_ = counts_;
     logEvent(Event::SessionsRefused, {{describe(Reason::NoDatabase), count(Reason::NoDatabase)},
                                       {describe(Reason::NoKey), count(Reason::NoKey)},
-                                      {describe(Reason::UnknownKey), count(Reason::UnknownKey)}});
+                                      {describe(Reason::UnknownKey), count(Reason::UnknownKey)},
+                                      {describe(Reason::Stopping), count(Reason::Stopping)}});
 }
 
 } // namespace pistachiowood
--- a/src/gateway/session_refusals.h
+++ b/src/gateway/session_refusals.h
@@ -22,8 +22,8 @@
 class SessionRefusals
 {
 public:
-    enum class Reason { NoDatabase, NoKey, UnknownKey };
-    static constexpr std::size_t reasonCount = 3;
+    enum class Reason { NoDatabase, NoKey, UnknownKey, Stopping };
+    static constexpr std::size_t reasonCount = 4;
 
     static std::string_view describe(Reason reason);
     static SessionRefusal answerTo(Reason reason);
--- a/tests/system/gateway_soak_test.py
+++ b/tests/system/gateway_soak_test.py
@@ -1,7 +1,7 @@
 """Fault soak of pistachiowood-platform: real daemons before stand-ins of the platform.
 
 Guards against acknowledged writes that are lost or doubled, refused writes that are kept, sessions that do not read
-their own writes, and fencing tokens that go back. Faults of the processes and of the store overlap; the store also comes back
+their own writes, fencing tokens that go back, and planned stops that leave statements unanswered. Faults of the processes and of the store overlap; the store also comes back
 from older copies of its state. Usage: gateway_soak_test.py BIN [SECONDS [SEED]]
 """
 
@@ -218,7 +218,16 @@
         daemon.process.send_signal(signal.SIGTERM)
     codes = [await asyncio.wait_for(daemon.process.wait(), 10) for daemon in daemons]
     kept = [entry[2] for entry in group.leader().log]
-    return check(callers, kept, group.tokens, codes, unusable)
+    return check(callers, kept, group.tokens, codes, unusable, unanswered(daemons))
+
+
+def unanswered(daemons):
+    """What the daemons log at a planned stop if a statement got no answer."""
+    found = []
+    for daemon in daemons:
+        with open(daemon.log.name, encoding="utf-8") as log:
+            found += [line.strip() for line in log if "PW1002" in line and 'unanswered="0"' not in line]
+    return found
 
 
 def configuration(version, databases):
@@ -245,7 +254,7 @@
         return False
 
 
-def check(callers, kept, tokens, codes, unusable):
+def check(callers, kept, tokens, codes, unusable, unanswered_stops):
     acknowledged = [identity for caller in callers for identity in caller.acknowledged]
     refused = [identity for caller in callers for identity in caller.refused]
     failures = {
@@ -255,6 +264,7 @@
         "own write not read": [identity for caller in callers for identity in caller.stale],
         "token went back": [pair for pair in zip(tokens, tokens[1:]) if pair[1][1] < pair[0][1]],
         "no write after the faults": unusable,
+        "unanswered at a planned stop": unanswered_stops,
         "exit codes": [code for code in codes if code != 0],
     }
     print(f"{len(acknowledged)} acknowledged, {len(refused)} refused, {len(tokens)} promotion calls")
--- a/tests/system/platform_fakes.py
+++ b/tests/system/platform_fakes.py
@@ -190,6 +190,9 @@
             writer.write(f"READY I {self.position()}\r\n".encode())
             while line := (await reader.readline()).decode().rstrip("\r\n"):
                 _, identity, text = line.split(" ", 2)
+                self.group.received.add(identity)
+                if self.group.work_s and identity != "-":  # not for statements of the system
+                    await asyncio.sleep(self.group.work_s)
                 answer, transaction = self.execute(identity, text, transaction)
                 state = "I" if transaction is None else "E" if transaction == "E" else "T"
                 writer.write((answer + f"READY {state} {self.position()}\r\n").encode())
@@ -243,6 +246,8 @@
         self.store = store
         self.service = service
         self.endpoints = {}
+        self.work_s = 0  # time that a statement of a caller takes
+        self.received = set()  # ids of the statements that reached an endpoint
         self.tokens = []  # (holder, fencing token) of every promotion
 
     async def add(self, name, primary=False):
