--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -62,8 +62,8 @@
     /// Aborts an open transaction and closes the session, after the running statement if there is
     /// one.
     void abortTransactionAndClose();
-    /// Answers the running statement with what is known of it, refuses all that arrive later and
-    /// closes the session.
+    /// Answers the running statement with what is known of it, refuses the queued and all later
+    /// ones and closes the session.
     void abandonStatementAndClose();
 
     void handleConnectionGranted(PooledConnection &connection) override;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,7 +67,7 @@
 
     /// True once a configuration is known. Before that no database may be refused as unknown.
     bool configured() const { return view_->configurationVersion != 0; }
-    /// Whether openSession() opens or refuses sessions; until then, requests for them wait.
+    /// Whether openSession() may be called. Until then, requests for sessions wait.
     bool answersSessions() const { return configured() || stopping_; }
     /// Opens a session with a database. Refused if the database has no route, or if its route needs
     /// a key and the caller's belongs to no customer.
--- a/tests/system/gateway_soak_test.py
+++ b/tests/system/gateway_soak_test.py
@@ -1,8 +1,8 @@
 """Fault soak of pistachiowood-platform: real daemons before stand-ins of the platform.
 
 Guards against acknowledged writes that are lost or doubled, refused writes that are kept, sessions that do not read
-their own writes, fencing tokens that go back, and planned stops that leave statements unanswered. Faults of the processes and of the store overlap; the store also comes back
-from older copies of its state. Usage: gateway_soak_test.py BIN [SECONDS [SEED]]
+their own writes, fencing tokens that go back, and planned stops that leave statements unanswered. Faults of the processes
+and of the store overlap; the store also comes back from older copies of its state. Usage: gateway_soak_test.py BIN [SECONDS [SEED]]
 """
 
 import asyncio
