--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -339,7 +339,7 @@
             return "DONE -\r\n"
         if word == "PREPARE":
             name, kind, shape = rest.split(" ", 2)
-            self.prepared[name] = (kind, shape)
+            self.prepared[name] = (kind, shape[:40])  # tells the shapes of a client apart
             return "DONE -\r\n"
         if word == "DEALLOC":
             self.prepared.pop(rest, None)
@@ -424,21 +424,14 @@
             if backend is not source and len(backend.log) < length:
                 backend.log = source.log[:length]
 
-    async def promote(self, reader, writer):
-        try:
-            while request := await read_http(reader):
-                _, _, headers, body = request
-                self.record("promotion", body, headers.get("x-lease-holder"), headers.get("x-fencing-token"))
-                self.promotions.append((headers.get("x-lease-holder"), int(headers.get("x-fencing-token", 0)), body["id"]))
-                backend = self.backends.get(body["id"])
-                if backend and not backend.primary:
-                    asyncio.get_running_loop().call_later(self.promote_s, self.lead, backend)
-                writer.write(http_answer(200 if backend else 409, {}))
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
+    def promote(self, name, holder, token):
+        """Status of the answer to a promotion call."""
+        self.record("promotion", self.name, name, holder, token)
+        self.promotions.append((holder, int(token), name))
+        backend = self.backends.get(name)
+        if backend and not backend.primary:
+            asyncio.get_running_loop().call_later(self.promote_s, self.lead, backend)
+        return 200 if backend else 409
 
     def lead(self, backend):
         term = max(other.term for other in self.backends.values()) + 1
@@ -453,14 +446,14 @@
             other.report()
 
 
-def configuration(version, service, routes, tx_idle_ms=3000):
-    """routes: of (database, kind, timeout_ms, target_latency_ms)."""
+def configuration(version, services, routes, tx_idle_ms=3000):
+    """routes: of (database, kind, timeout_ms, target_latency_ms, index of the service)."""
     return {"version": version, "routes": [
         {"name": f"r-{database}", "db_name": database, "path_prefix": "/", "kind": kind, "timeout_ms": timeout,
-         "target_latency_ms": target, "priority": 1, "service": service.name, "max_attempts": 2,
-         "max_staleness_ms": 2500} for database, kind, timeout, target in routes],
+         "target_latency_ms": target, "priority": 1, "service": services[index].name, "max_attempts": 2,
+         "max_staleness_ms": 2500} for database, kind, timeout, target, index in routes],
         "services": [{"name": service.name, "health_path": "/health", "max_conns": service.max_conns,
-                      "protocol": "h1", "tls": False, "sync_replicas": 0}],
+                      "protocol": "h1", "tls": False, "sync_replicas": 0} for service in services],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                    "idle_timeout_ms": 15000, "tx_idle_ms": tx_idle_ms}}
 
@@ -507,19 +500,20 @@
 class Deployment:
     """A small deployment on loopback addresses; a context manager that ends what it started."""
 
-    def __init__(self, record, nodes=2, **service):
+    def __init__(self, record, nodes=2, services=1, **service):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["gateway"]["run"].split(" ")
         self.store = Store()
-        self.service = Service(self.store, record, **service)
+        self.services = [Service(self.store, record, f"ledger-{number}", **service) for number in range(services)]
+        self.service = self.services[0]
         self.nodes = []
         self.count = nodes
         self.servers = []
 
     async def __aenter__(self):
-        for handler, name in ((self.store.serve, "store_address"), (self.service.promote, "cloud_address")):
+        for handler, name in ((self.store.serve, "store_address"), (self.promote, "cloud_address")):
             server = await asyncio.start_server(handler, "127.0.0.1", 0, limit=MAX_LINE)
             self.servers.append(server)
             setattr(self, name, f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
@@ -527,9 +521,11 @@
         return self
 
     async def start(self, routes, **limits):
-        for number in range(3):
-            await self.service.add(f"i-{number}a", primary=number == 0)
-        self.store.put("config", "main", configuration(7, self.service, routes, **limits))
+        for index, service in enumerate(self.services):
+            for number in range(3):
+                await service.add(f"i-{number}{'abc'[index]}", primary=number == 0)
+        routes = [(*route, 0)[:5] for route in routes]
+        self.store.put("config", "main", configuration(7, self.services, routes, **limits))
         for node in self.nodes:
             await node.start()
         for node in self.nodes:
@@ -540,6 +536,21 @@
             else:
                 raise NotRun(f"{node.name} doesn't get ready")
 
+    async def promote(self, reader, writer):
+        try:
+            while request := await read_http(reader):
+                _, _, headers, body = request
+                for service in self.services:
+                    if service.name == body["service"]:
+                        status = service.promote(body["id"], headers.get("x-lease-holder"),
+                                                 headers.get("x-fencing-token", 0))
+                        writer.write(http_answer(status, {}))
+                        await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
     async def __aexit__(self, *_):
         for node in self.nodes:
             if node.process and node.process.returncode is None:
